--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -430,6 +430,7 @@
             forward: Forward {
                 uri: head.uri.path_and_query().cloned().ok_or(bad)?.into(),
                 txn: HeaderValue::from_str(txn).map_err(|_| bad)?,
+                idempotency_key: head.headers.get("idempotency-key").cloned(),
                 content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
                 method: head.method,
                 body,
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -22,6 +22,8 @@
     pub method: Method,
     pub uri: Uri,
     pub txn: header::HeaderValue,
+    /// By it the workers of a group tell a repeat: without it a keyed request is another one.
+    pub idempotency_key: Option<header::HeaderValue>,
     pub content_type: Option<header::HeaderValue>,
     pub body: Bytes,
 }
@@ -215,6 +217,9 @@
             if let Ok(wait) = header::HeaderValue::try_from(format!("{wait:.3}")) {
                 headers.insert("x-remaining", wait);
             }
+            if let Some(key) = &what.idempotency_key {
+                headers.insert("idempotency-key", key.clone());
+            }
             if let Some(kind) = &what.content_type {
                 headers.insert(header::CONTENT_TYPE, kind.clone());
             }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -38,6 +38,16 @@
     let (second, seen) = worker.request();
     assert_eq!((seen.line.as_str(), seen.body.as_slice()), ("POST /submit HTTP/1.1", b"answer".as_slice()));
     assert_eq!(first, second, "on the connection that was kept");
+    assert!(!seen.headers.contains_key("idempotency-key"), "none is made up");
+}
+
+#[test]
+fn the_key_by_which_workers_tell_a_repeat_goes_on_unchanged() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    assert_eq!(setup.start().ask(&Ask::submit("k").with("Idempotency-Key", key)).status(), 200);
+    assert_eq!(worker.request().1.header("idempotency-key"), key);
 }
 
 #[test]
