Let a covered request wait for a slot under a plan's open cap

The cap of mayor (3 or 4 attempts at once) was split evenly over 4 gateways, one each, and whatever found the slot taken was refused at once, though its units were covered and the slot free again some 30 ms later. It now waits its turn for at most 0.4 of its aim, and is refused at once where the turn would come later.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,6 +42,8 @@
 const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
+/// Share of the aim that a covered request may wait for a slot under a cap: the rest is for its answer.
+const SLOT_AIM: f64 = 0.4;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
 const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
@@ -147,6 +149,8 @@
     late: bool,
     held: VecDeque<JobId>,
     open: u32,
+    /// Covered requests, with their units, that wait for one of those out to end.
+    waiting: VecDeque<(JobId, f64)>,
     touched: Time,
 }
 
@@ -170,6 +174,7 @@
 enum Due {
     Hold(CustomerId),
     Hedge(JobId),
+    Slot(JobId),
     Sweep,
 }
 
@@ -270,6 +275,11 @@
     (spans as u64, spans.fract() * length)
 }
 
+/// A gateway's even share of a cap on what is out, one at least.
+fn slots(plan: &Plan, customer: &Customer) -> u32 {
+    if plan.open == 0 { u32::MAX } else { (plan.open / customer.spread).max(1) }
+}
+
 impl Gateway {
     /// A gateway that knows nothing yet. `seed` feeds all its randomness.
     ///
@@ -292,8 +302,10 @@
             Event::Request(request) => self.request(request),
             Event::FirstByte { job } => self.jobs.get_mut(&job).into_iter().for_each(|j| j.streaming = true),
             Event::Outcome { job, attempt, server, status, spent, over, settled, load: _ } => {
+                let customer = self.jobs.get(&job).map(|j| j.request.customer.clone());
                 self.observe(&server, status, spent);
                 self.outcome(&job, attempt, status, over, settled);
+                customer.into_iter().for_each(|c| self.fill_slots(&c));
             }
             Event::Left { job } => self.over(&job),
             Event::Timer { token } => self.timer(token),
@@ -640,14 +652,46 @@
         }
         let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
         customer.share.level = (customer.share.level - drawn).max(0.0);
-        // An open cap: each gateway holds an even share of it, one at least.
-        let share = (plan.open / customer.spread).max(1);
-        if plan.open == 0 || customer.open < share {
-            self.send_first(id);
-        } else {
+        if customer.open < slots(&plan, customer) { self.send_first(id) } else { self.wait(id, units, &plan) }
+    }
+
+    /// Under a cap on what is out a burst finds a gateway's few slots taken, and each is free again in an
+    /// answer's time: a covered request waits its turn where that leaves time for its answer. Where those
+    /// before it take too long it is refused at once.
+    fn wait(&mut self, id: JobId, units: f64, plan: &Plan) {
+        let request = &self.jobs[&id].request;
+        let most = SLOT_AIM * self.set.classes[request.class].aim;
+        let customer = self.customers.get_mut(&request.customer).expect("spending customers are known");
+        let turn = (customer.waiting.len() + 1) as f64 * self.latency / f64::from(slots(plan, customer));
+        if turn > most {
             customer.lease += units; // Not sent, so not spent.
-            self.end(&id, self.latency);
+            return self.end(&id, turn);
         }
+        customer.waiting.push_back((id.clone(), units));
+        self.set_timer(self.now + most, Due::Slot(id));
+    }
+
+    /// Gives the slots that have come free to those that wait.
+    fn fill_slots(&mut self, key: &CustomerId) {
+        while let Some(customer) = self.customers.get_mut(key) {
+            if customer.open >= slots(&self.set.plans[customer.plan], customer) {
+                return;
+            }
+            match customer.waiting.pop_front() {
+                Some((id, _)) if self.jobs.contains_key(&id) => self.send_first(id),
+                Some((_, units)) => customer.lease += units, // Its client has left.
+                None => return,
+            }
+        }
+    }
+
+    /// No slot came free in time.
+    fn stop_waiting(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(customer) = self.customers.get_mut(&job.request.customer) else { return };
+        let Some(place) = customer.waiting.iter().position(|(waits, _)| waits == id) else { return };
+        customer.lease += customer.waiting.remove(place).map_or(0.0, |(_, units)| units);
+        self.end(id, self.latency);
     }
 
     fn ask(&mut self, key: &CustomerId, plan: &Plan) {
@@ -895,6 +939,7 @@
         match self.due.remove(&token) {
             Some(Due::Hold(key)) => self.stop_holding(&key, token),
             Some(Due::Hedge(id)) => self.hedge(&id),
+            Some(Due::Slot(id)) => self.stop_waiting(&id),
             Some(Due::Sweep) => {
                 self.forget(FORGET.0);
                 self.set_timer(self.now + FORGET.1, Due::Sweep);
