Avoid a server for the class it errs on

Errors put a server out only three in a row. Ruled out: the network (every error was a whole 500 of the worker), overload (the three answered the other two classes in the usual time), and a lone bad worker (three of nine).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,6 +54,11 @@
 const COLD_SHARE: f64 = 0.4;
 /// A server counts as fuller by its mean latency over that of all servers, from one over this on.
 const OUTLIER: f64 = 1.5;
+/// A server that errs always on a class counts for that class as this many times fuller: an error may be a
+/// request lost, a longer line at another server hardly is.
+const ERRING: f64 = 20.0;
+/// Seconds after which an error counts for little: it is mended as suddenly as it came.
+const ERROR_MEMORY: f64 = 4.0;
 /// Seconds over which sends are averaged.
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
@@ -190,6 +195,8 @@
     latency: f64,
     heard: Time,
     failures: u32,
+    /// By class, the share of errors among the answers of late, and when the last answer came.
+    errors: Vec<Store>,
     gone: bool,
     out_until: Time,
     out_for: f64,
@@ -302,8 +309,9 @@
             Event::Request(request) => self.request(request),
             Event::FirstByte { job } => self.jobs.get_mut(&job).into_iter().for_each(|j| j.streaming = true),
             Event::Outcome { job, attempt, server, status, spent, over, settled, load: _ } => {
-                let customer = self.jobs.get(&job).map(|j| j.request.customer.clone());
-                self.observe(&server, status, spent);
+                let request = self.jobs.get(&job).map(|j| (j.request.customer.clone(), j.request.class));
+                let (customer, class) = request.unzip();
+                self.observe(&server, class, status, spent);
                 self.outcome(&job, attempt, status, over, settled);
                 customer.into_iter().for_each(|c| self.fill_slots(&c));
             }
@@ -376,7 +384,7 @@
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
-    fn observe(&mut self, server: &ServerId, status: Status, spent: f64) {
+    fn observe(&mut self, server: &ServerId, class: Option<usize>, status: Status, spent: f64) {
         let sick = self.names.iter().filter(|id| self.now < self.servers[*id].out_until).count() as f64;
         let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
         let Some(host) = self.servers.get_mut(server) else { return };
@@ -387,6 +395,13 @@
             self.servers.remove(server);
             return;
         }
+        if let (Some(class), Status::Ok | Status::Error) = (class, status) {
+            // By class, as one alone may fail: its errors stand between good answers to the others.
+            host.errors.resize_with(self.set.classes.len(), Store::default);
+            note_demand(&mut host.errors[class], self.now, 0.0, ERROR_MEMORY);
+            let share = &mut host.errors[class].level;
+            *share += GAIN * (f64::from(u8::from(status == Status::Error)) - *share);
+        }
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
@@ -484,7 +499,9 @@
             // Slower servers are sent less, by news that fades; those known as quick are not told apart.
             let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
             let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
-            let score = (1.0 + host.inflight) * slow;
+            let erred = host.errors.get(job.request.class);
+            let erring = erred.map_or(0.0, |e| e.level * (-(self.now - e.at) / ERROR_MEMORY).exp());
+            let score = (1.0 + host.inflight) * slow * (ERRING * erring).max(1.0);
             if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
                 best = Some((score, id));
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -250,3 +250,36 @@
     assert!(customers <= 4 * most, "{customers} mentions of customers");
     assert!(held(&rig) < before + 200_000, "{} after {before}", held(&rig));
 }
+
+#[test]
+fn a_server_that_errs_on_one_class_gets_little_of_it_and_its_part_of_the_others() {
+    let mut s = plain(Effect::Safe);
+    let mut unsafe_class = Class::default();
+    unsafe_class.effect = Effect::Unsafe;
+    s.classes.push(unsafe_class);
+    let mut rig = Rig::new(s);
+    let (mut erred, mut good) = (0, 0);
+    for i in 0..400 {
+        rig.now += 0.01;
+        let mut request = request(&format!("j{i}"), rig.now);
+        request.class = i % 2;
+        for (job, to) in sends(&rig.event(Event::Request(request))) {
+            let errs = &*to == "a" && i % 2 == 1;
+            erred += usize::from(errs);
+            good += usize::from(&*to == "a" && !errs);
+            rig.outcome(&job, 0, &to, if errs { Status::Error } else { Status::Ok });
+        }
+    }
+    assert!(erred <= 20, "{erred} of 200 went to the one of three servers that errs on them");
+    assert!(good >= 40, "{good} of 200 of the other class went to it");
+    rig.now += 20.0;
+    let back = (0..60).filter(|i| {
+        rig.now += 0.01;
+        let mut request = request(&format!("k{i}"), rig.now);
+        request.class = 1;
+        let sent = sends(&rig.event(Event::Request(request)));
+        sent.iter().for_each(|(job, to)| drop(rig.outcome(job, 0, to, Status::Ok)));
+        sent.iter().any(|(_, to)| &**to == "a")
+    });
+    assert!(back.count() >= 10, "what is mended is used again");
+}
