Measure pressure from an idle fleet's answers, not from nothing

Ruled out: overload (median answers stayed near 30 ms through the refusals) and the network (no attempt was left waiting for a connection).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,7 +38,7 @@
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
-/// Share of the aim that answers may take before less is let in: the rest is for swings.
+/// Share of the aim that answers may take over an idle fleet's before less is let in: the rest is for swings.
 const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
@@ -63,6 +63,8 @@
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
 const PEAK_MEMORY: f64 = 20.0;
+/// Seconds over which the time of an idle fleet's answers is forgotten: longer than a rush.
+const IDLE_MEMORY: f64 = 60.0;
 /// Weight of a new value in a mean.
 const GAIN: f64 = 0.15;
 /// Share of attempts without an answer in time from which they count as slow answers, not as lost ones.
@@ -234,6 +236,8 @@
     latency: f64,
     /// The middle answer's time: lost answers and sick servers do not move it, a slow fleet does.
     typical: f64,
+    /// What that was at its best, which an idle fleet takes, too: it says nothing of a queue.
+    idle: Store,
     /// Share of the attempts of late that had no answer in time.
     lost: f64,
     inflight: f64,
@@ -441,6 +445,11 @@
         if status == Status::Ok || self.lost > LOST_MOST {
             let typical = if self.typical == 0.0 { spent } else { self.typical };
             self.typical = typical * (spent.max(1e-3) / typical).powf(gain);
+            // Forgotten slowly, as servers come and go: a rush must not pass for the idle fleet.
+            let kept = (-(self.now - self.idle.at) / IDLE_MEMORY).exp();
+            let known = self.idle.level > 0.0 && self.idle.level < self.typical;
+            let best = if known { self.idle.level } else { self.typical };
+            self.idle = Store { level: self.typical + (best - self.typical) * kept, at: self.now };
         }
         self.beside += gain * (beside - self.beside);
     }
@@ -450,7 +459,8 @@
     /// few are out. A fraction lets in by chance, so that many gateways of little load keep it together.
     fn room(&mut self, share: f64) -> bool {
         let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
-        let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
+        let wanted = self.idle.level + PRESSED_AIM * self.aim();
+        let ease = (wanted / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
         let fade = (1.0 - 1.0 / ease + (1.0 + mean).powi(-2)).clamp(0.0, 1.0);
         self.inflight + self.draw() <= share * (mean + fade * (1.0 + SWING * mean.sqrt()))
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -283,3 +283,26 @@
     });
     assert!(back.count() >= 10, "what is mended is used again");
 }
+
+/// How many of `n` requests at once are sent, in a fleet whose answers take `idle` seconds and then `now`.
+fn sent_at_once(idle: f64, now: f64, n: usize) -> usize {
+    let mut rig = Rig::new(plain(Effect::Safe));
+    for (tag, spent) in [("i", idle), ("n", now)] {
+        for i in 0..60 {
+            rig.now += 0.1;
+            for (job, server) in sends(&rig.ask(&format!("{tag}{i}"))) {
+                let (status, load) = (Status::Ok, Load::default());
+                let (attempt, over, settled) = (0, true, None);
+                rig.event(Event::Outcome { job, attempt, server, status, spent, over, settled, load });
+            }
+        }
+    }
+    (0..n).map(|i| sends(&rig.ask(&format!("burst{i}"))).len()).sum()
+}
+
+#[test]
+fn the_time_of_an_idle_fleets_answers_is_no_pressure() {
+    let (slow, pressed) = (sent_at_once(0.15, 0.15, 40), sent_at_once(0.15, 0.9, 40));
+    assert!(slow >= 6, "{slow} sent at once to three idle servers with an answer's time of 0.15 of the aim");
+    assert!(pressed * 3 <= slow * 2, "{pressed} sent where answers take six times as long, {slow} before");
+}
