Replace a counter line that has gone silent after four call limits

A silent line was noticed only when a ping tick, every 2 s, found it owing for 2 s, so it stood for up to 4 s; calls went to it until one had been out for a whole limit; soon all four lines were stuck, and the pace of calls fell to 4 a second although nothing was slow. A line is now given up, by a timer, after four limits, past what the counter's queue can take, and gets no new name once it owes for a quarter of one. Test: all four lines got a second ping while silent before.

--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -24,8 +24,12 @@
 pub const LINES: usize = 4;
 /// Between pings, well under the shortest idle time after which the counter closes.
 const PING: Duration = Duration::from_secs(2);
-/// A line that owes an answer for longer is given up: its far end is gone.
-const STUCK: Duration = Duration::from_secs(2);
+/// A line that owes an answer for more than so many of the calls' limits is given up: the counter turns calls
+/// away long before its queue takes that time, so the connection has gone silent, and a new one may do.
+const STUCK: u32 = 4;
+/// A line that owes an answer for more than this part of the limit gets no new name while another is free: if
+/// it has gone silent, each call on it is lost.
+const SLOW: u32 = 4;
 /// First and longest wait between two connections.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 /// Least time between two lines of the log about broken connections.
@@ -56,6 +60,11 @@
         self.calls.front().is_some_and(|c| c.since.elapsed() > limit)
     }
 
+    /// When it will have owed an answer for `limit`.
+    fn overdue_at(&self, limit: Duration) -> Option<Instant> {
+        self.calls.front().map(|c| c.since + limit)
+    }
+
     /// Writes what the socket takes; `false`: the connection is broken.
     fn flush(&mut self) -> bool {
         let Some(socket) = &self.socket else { return true };
@@ -151,7 +160,7 @@
             Call { name: Some(name), number, since: Instant::now(), text, written: 0, reported: false };
         let mut lines = self.lines.borrow_mut();
         let waits = |l: &Line| l.calls.iter().any(|c| c.name == Some(name) && !c.reported);
-        let free = |l: &Line| !l.overdue(self.limit);
+        let free = |l: &Line| !l.overdue(self.limit / SLOW);
         let chosen = lines
             .iter()
             .position(waits)
@@ -307,19 +316,20 @@
     let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
     let mut ping = tokio::time::interval(PING);
     loop {
-        let unwritten = {
+        let (unwritten, stuck) = {
             let line = &mut counter.lines.borrow_mut()[index];
+            if line.overdue(counter.limit * STUCK) {
+                return ErrorKind::TimedOut.into();
+            }
             if !line.flush() {
                 return ErrorKind::BrokenPipe.into();
             }
             if counter.retired.get() && line.calls.iter().all(|c| c.reported) {
                 return ErrorKind::ConnectionAborted.into();
             }
-            if line.overdue(STUCK) {
-                return ErrorKind::TimedOut.into();
-            }
-            line.unwritten()
+            (line.unwritten(), line.overdue_at(counter.limit * STUCK))
         };
+        let stuck_at = stuck.unwrap_or_else(Instant::now);
         let came = tokio::select! {
             came = reader.read(&mut buffer) => came,
             ready = writer.writable(), if unwritten => match ready {
@@ -327,6 +337,7 @@
                 Err(e) => return e,
             },
             () = wake.notified() => continue,
+            () = tokio::time::sleep_until(stuck_at.into()), if stuck.is_some() => continue,
             _ = ping.tick() => { counter.ping(index); continue }
         };
         match came {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -219,6 +219,8 @@
     FirstWaitsForSecond,
     /// Never on its first connection, well on others.
     FirstIsStuck,
+    /// Never on its first ones, as many as a gateway holds, well on others.
+    AllAreStuck,
 }
 
 pub struct Counter {
@@ -263,6 +265,7 @@
                 let silent = match how {
                     Counts::Never => true,
                     Counts::FirstIsStuck => number == 0,
+                    Counts::AllAreStuck => number < 4,
                     Counts::FirstWaitsForSecond => number == 0 && called == 1,
                     _ => false,
                 };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -309,6 +309,25 @@
     assert!(served > 0 && connections.len() > 1, "{served} served, calls on {connections:?}");
 }
 
+#[test]
+fn connections_to_the_counter_that_have_gone_silent_are_soon_replaced() {
+    let counter = Counter::start(Counts::AllAreStuck);
+    let worker = Worker::start(Does::Serves("ok"));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    setup.counter = Some(counter.addr);
+    let _node = setup.start();
+    let mut pings = [0; 4];
+    // Each line says a ping at first, and the next two seconds later: by then a silent one is long given up.
+    loop {
+        let (connection, call) = counter.calls.recv_timeout(LIMIT).expect("a ping");
+        if connection >= 4 {
+            break;
+        }
+        pings[connection] += usize::from(call == "ping");
+    }
+    assert!(pings.iter().all(|p| *p <= 1), "{pings:?} pings on silent connections");
+}
+
 #[test]
 fn the_line_to_the_counter_is_kept_from_idling_out() {
     let worker = Worker::start(Does::Serves("ok"));
