Keep the debt of a counter call that failed, and take back a spoilt answer's block

An ask clears what was spent off the count before its answer is known. Calls that ended in a time-out or a reset stay as they were: they may have been added, and the quota is not to be passed.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -161,6 +161,13 @@
     touched: Time,
 }
 
+impl Customer {
+    /// Leaves units for the next ask to add, below nothing to take off: no more than a burst.
+    fn owe(&mut self, units: f64, plan: &Plan) {
+        self.owed = (self.owed + units).clamp(-plan.burst, plan.burst);
+    }
+}
+
 /// Why a count was called.
 #[derive(Debug)]
 enum Why {
@@ -786,8 +793,21 @@
         self.pace_calls(status, spent);
         let Some(customer) = self.customers.get_mut(&call.customer) else { return };
         let plan = self.set.plans[customer.plan].clone();
-        if status == Status::Ok {
-            self.settle(&call, total, &plan);
+        match status {
+            Status::Ok => self.settle(&call, total, &plan),
+            // Nothing was added: what the count was to hear of, it still has to.
+            Status::Full | Status::ConnectFailed => match call.why {
+                Why::Ask { owed, .. } => customer.owe(owed, &plan),
+                Why::Correct => customer.owe(call.step, &plan),
+                Why::Read => {}
+            },
+            // The answer was spoilt, the amount added: nobody got the block, so the count has it too much.
+            Status::Error => {
+                if let Why::Ask { want, .. } = call.why {
+                    customer.owe(-want, &plan);
+                }
+            }
+            _ => {} // It may have been added: left so, as the quota is not to be passed.
         }
         if let Why::Ask { .. } = call.why {
             let customer = self.customers.get_mut(&call.customer).expect("seen above");
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -79,6 +79,49 @@
     assert_eq!(sends(&out).len() + refused(&out), 1);
 }
 
+#[test]
+fn what_a_call_that_was_turned_away_should_have_told_the_next_one_tells() {
+    for status in [Status::Full, Status::ConnectFailed] {
+        let mut rig = Rig::new(settings());
+        let (mut sent, mut told) = (0, 0.0);
+        for i in 0..6 {
+            rig.now += 0.375;
+            let before = sent;
+            let mut out = rig.ask(&format!("s{i}"));
+            for (name, step) in counts(&out) {
+                assert!(step >= before as f64, "{status:?}: {step} told, {before} sent off the count");
+                told = step;
+                out.extend(rig.counted(name, status, 0.0));
+            }
+            sent += sends(&out).len();
+        }
+        assert!(sent >= 4 && told >= 4.0, "{sent} sent, {told} told at last");
+    }
+}
+
+#[test]
+fn a_block_that_a_spoilt_answer_hid_is_taken_off_the_count_again() {
+    let mut s = settings();
+    s.plans[0].rate = 1.0;
+    let (mut rig, mut counter) = (Rig::new(s), Counter::default());
+    let mut sent = counter.ask_many(&mut rig, "a", 3);
+    for i in 0..8 {
+        rig.now += 0.375;
+        let mut out = rig.ask(&format!("s{i}"));
+        for (name, step) in counts(&out) {
+            *counter.0.entry(name).or_default() += step;
+            out.extend(rig.counted(name, Status::Error, 0.0));
+        }
+        for (job, server) in sends(&out) {
+            sent += 1;
+            rig.outcome(&job, 0, &server, Status::Ok);
+        }
+    }
+    rig.now += 1.0;
+    sent += counter.ask_many(&mut rig, "b", 60);
+    assert!((23..=25).contains(&sent), "{sent} sent of a burst of 20 and one a second for 4 s");
+}
+
 #[test]
 fn a_silent_counter_leaves_the_even_share() {
     let (mut rig, mut counter) = (Rig::new(settings()), Counter::default());
