Give out the slots of an open cap that do not share out evenly

A cap of 3 over two gateways was 1 and 1: a third of it stood unused. The remainder goes to the first of the customer's gateways, one each; all gateways know which those are from the request.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -293,9 +293,11 @@
     (spans as u64, spans.fract() * length)
 }
 
-/// A gateway's even share of a cap on what is out, one at least.
+/// A gateway's even share of a cap on what is out, one at least; what does not go round falls to the first of
+/// the customer's gateways, one each.
 fn slots(plan: &Plan, customer: &Customer) -> u32 {
-    if plan.open == 0 { u32::MAX } else { (plan.open / customer.spread).max(1) }
+    let (even, over) = (plan.open / customer.spread, plan.open % customer.spread);
+    if plan.open == 0 { u32::MAX } else { (even + u32::from(customer.turn < over)).max(1) }
 }
 
 impl Gateway {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -176,6 +176,27 @@
     assert_eq!(sends(&counter.ask(&mut rig, "k")).len(), 1, "all have ended");
 }
 
+#[test]
+fn the_shares_of_an_open_cap_make_up_the_cap() {
+    for first in [0, 1] {
+        let at_once = |me: u32| {
+            let mut s = settings();
+            (s.me, s.plans[0].open) = (me, 3);
+            let (mut rig, mut counter) = (Rig::new(s), Counter::default());
+            let mut sent = 0;
+            for i in 0..6 {
+                let mut request = request(&format!("j{i}"), rig.now);
+                request.first = first;
+                let out = rig.event(Event::Request(request));
+                sent += sends(&out).len() + sends(&counter.answer(&mut rig, &out)).len();
+            }
+            sent
+        };
+        let (one, two) = (at_once(first), at_once(1 - first));
+        assert_eq!((one, two), (2, 1), "three at two gateways, of which number {first} is the first");
+    }
+}
+
 #[test]
 fn a_slot_that_does_not_come_free_in_time_is_not_waited_for() {
     let (mut rig, mut counter, out) = six_for_two_slots();
