Keep idle connections to workers no longer than they are seen to last

Such a reset now halves the time that idle connections are kept for, to 50 ms at least; answers on kept ones raise it again. Test: the third request on such connections failed before.

--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -65,6 +65,11 @@
         self.whole.get().is_some_and(|whole| self.written.get() >= whole)
     }
 
+    /// Something of the final answer has come.
+    pub fn answered(&self) -> bool {
+        self.begun.get()
+    }
+
     /// An answer of 1xx only says that the final one is on its way.
     fn came(&self, bytes: &[u8]) {
         if !bytes.is_empty() && !bytes.starts_with(b"HTTP/1.1 1") {
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -51,6 +51,10 @@
     }
 }
 
+/// Shortest time that an idle connection is kept for: the next request of a rush comes sooner, and a new
+/// connection costs the worker work.
+const KEEP_LEAST: Duration = Duration::from_millis(50);
+
 struct Pooled {
     link: Link,
     /// The worker's life that it was opened in.
@@ -83,7 +87,11 @@
     lives: Cell<u64>,
     open: Rc<Cell<usize>>,
     budget: usize,
-    keep: Duration,
+    /// An idle connection is kept for so long: at most, and as resets and answers on kept ones have shown. What
+    /// stands between may forget a connection far sooner than the worker closes it, and says so only to a
+    /// request, which may then have run.
+    keep_most: Duration,
+    keep: Cell<Duration>,
     connect: Duration,
 }
 
@@ -99,9 +107,9 @@
     /// `budget` connections at most, none kept idle for `idle_limit`, none waited for past `connect`.
     pub fn new(budget: usize, idle_limit: Duration, connect: Duration) -> Self {
         // A worker closes at its limit, and a request that crosses that is lost: close well before.
-        let keep = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
-        let (hosts, lives) = (RefCell::default(), Cell::new(0));
-        Self { hosts, lives, open: Rc::default(), budget, keep, connect }
+        let keep_most = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
+        let (hosts, lives, keep) = (RefCell::default(), Cell::new(0), Cell::new(keep_most));
+        Self { hosts, lives, open: Rc::default(), budget, keep_most, keep, connect }
     }
 
     /// Takes in the list: the whole one, or what has changed, each with its address if it has a usable one.
@@ -135,7 +143,7 @@
     /// Closes idle connections that are dead or due.
     pub fn sweep(&self) {
         for host in self.hosts.borrow_mut().values_mut() {
-            host.idle.retain_mut(|p| p.since.elapsed() < self.keep && p.link.ready());
+            host.idle.retain_mut(|p| p.since.elapsed() < self.keep.get() && p.link.ready());
         }
     }
 
@@ -145,7 +153,7 @@
         loop {
             // The last one used first: the rest stay idle and go. A dead one is dropped here, unreported.
             let mut pooled = host.idle.pop()?;
-            if pooled.since.elapsed() < self.keep && pooled.link.ready() {
+            if pooled.since.elapsed() < self.keep.get() && pooled.link.ready() {
                 return Some(pooled);
             }
         }
@@ -193,14 +201,23 @@
                 None => (self.fresh(target).await?, false),
             };
             *trace.borrow_mut() = Some(pooled.link.progress());
+            let idle = pooled.since.elapsed();
             match pooled.link.exchange(build(), body, MAX_BODY).await {
                 Ok((parts, bytes)) => {
+                    if kept && idle >= self.keep.get() / 2 {
+                        self.keep.set((self.keep.get() * 5 / 4).min(self.keep_most));
+                    }
                     self.put(target, pooled);
                     return Ok((parts.status, parts.headers, bytes));
                 }
                 Err(Failure::Unsent) if kept => {}
                 Err(Failure::Unsent | Failure::Partial) => return Err(Status::ConnectFailed),
-                Err(Failure::Reset) => return Err(Status::Reset),
+                Err(Failure::Reset) => {
+                    if kept && !pooled.link.progress().answered() {
+                        self.keep.set((idle / 2).max(KEEP_LEAST).min(self.keep.get()));
+                    }
+                    return Err(Status::Reset);
+                }
             }
         }
     }
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -89,6 +89,8 @@
     ServesAndSays(Arc<Gate>, &'static str),
     /// Closes without a word.
     Resets,
+    /// Serves the first request of a connection and closes at the next, without a word.
+    ServesOnce,
     /// Answers, then ends its sending without having said so.
     ServesAndEnds,
     /// Keeps the request until the gateway ends the connection.
@@ -168,6 +170,7 @@
 
 fn worker(mut socket: &TcpStream, number: usize, does: &Mutex<Does>, tell: &Sender<Seen>) {
     let mut reader = BufReader::new(socket);
+    let mut served = false;
     while let Some(message) = read_message(&mut reader) {
         let now = does.lock().expect("no panic inside").clone();
         let _ = tell.send(Seen::Request(number, message));
@@ -183,6 +186,8 @@
                 continue;
             }
             Does::Resets => return,
+            Does::ServesOnce if served => return,
+            Does::ServesOnce => ok("once"),
             Does::ServesAndEnds => {
                 let _ = socket.write_all(ok("last").as_bytes());
                 let _ = socket.shutdown(std::net::Shutdown::Write);
@@ -203,6 +208,7 @@
         if socket.write_all(said.as_bytes()).is_err() {
             return;
         }
+        served = true;
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -141,6 +141,22 @@
     }
 }
 
+#[test]
+fn a_connection_that_idles_for_as_long_as_one_that_was_reset_is_not_used_again() {
+    let worker = Worker::start(Does::ServesOnce);
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let idle = || std::thread::sleep(std::time::Duration::from_millis(150));
+    let ask = |txn: &str| node.ask(&Ask::submit(txn)).status();
+    assert_eq!(ask("a"), 200);
+    idle();
+    assert_eq!(ask("b"), 502, "it may have run");
+    for txn in ["c", "d", "e"] {
+        assert_eq!(ask(txn), 200, "a new connection, as the last one idled");
+        idle();
+    }
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_the_workers_limit() {
     let worker = Worker::start(Does::Serves("ok"));
