Take no server for restarted because connections to it failed by chance

Two failures to connect, or one beside another failure, marked a server gone, and its next answer made it cold for 17 s with a small budget. A server is gone now when no connection to it has come up for half a second with no answer between; putting it out is as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,6 +78,9 @@
 const SUBSET: (usize, usize) = (6, 20);
 /// Failures in a row that put a server out; a refused connection counts as all but one of them.
 const EJECT_AFTER: u32 = 3;
+/// Seconds for which a server must be out of reach, with no answer between, to count as gone: connections
+/// also fail by chance, and one that was gone is spared as cold for long.
+const GONE_AFTER: f64 = 0.5;
 /// Seconds a server is first and at most put out for.
 const EJECT: (f64, f64) = (1.0, 8.0);
 /// Share of the servers that may be put out at once: more failing together is no server's own fault.
@@ -207,6 +210,8 @@
     /// By class, the share of errors among the answers of late, and when the last answer came.
     errors: Vec<Store>,
     gone: bool,
+    /// Since when no connection to it has come up; 0: it answered last.
+    missed_since: Time,
     out_until: Time,
     out_for: f64,
     cold: Store,
@@ -415,6 +420,9 @@
             let share = &mut host.errors[class].level;
             *share += GAIN * (f64::from(u8::from(status == Status::Error)) - *share);
         }
+        if matches!(status, Status::Ok | Status::Error | Status::Full) {
+            host.missed_since = 0.0;
+        }
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
@@ -426,9 +434,12 @@
             }
             Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
             Status::ConnectFailed => {
-                // One may be chance; with the next it is gone.
+                // One may be chance; with the next it is put out.
                 host.failures += EJECT_AFTER - 1;
-                host.gone |= host.failures >= EJECT_AFTER;
+                if host.missed_since == 0.0 {
+                    host.missed_since = self.now;
+                }
+                host.gone |= self.now - host.missed_since >= GONE_AFTER;
             }
             // In overload all time out, and none is sick: then its latency below says it.
             Status::Timeout if self.lost > TIMEOUTS_FEW => {}
