Send one ping after a stall, not all that were missed

A stall of the process over two ping times wrote them in one go to each counter line; it also could have shown a second ping on a silent line to the test that counts them, on a machine that stalls for 2 s.

--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -315,6 +315,8 @@
     };
     let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
     let mut ping = tokio::time::interval(PING);
+    // After a stall of this process one is enough.
+    ping.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let (unwritten, stuck) = {
             let line = &mut counter.lines.borrow_mut()[index];
