Listen for operators' calls, and take clients by an inherited socket

NODE_ACCEPT_FD names the clients' listening socket; only this process's copy of it is closed. The one unsafe line takes that descriptor, which nothing else can.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -112,6 +112,8 @@
     /// A connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
+    /// New connections are being taken.
+    accepting: Cell<bool>,
     /// A failure to accept was logged.
     complained: Cell<bool>,
 }
@@ -127,6 +129,7 @@
             room: Cell::new(bodies),
             freed: Notify::new(),
             stopping: Cell::new(false),
+            accepting: Cell::new(false),
             complained: Cell::new(false),
         })
     }
@@ -141,6 +144,11 @@
         self.peers.borrow().values().for_each(|p| p.tell_to_close());
     }
 
+    /// Clients are being taken, and will be until further notice.
+    pub fn accepting(&self) -> bool {
+        self.accepting.get() && !self.stopping.get()
+    }
+
     pub fn connections(&self) -> usize {
         self.peers.borrow().len()
     }
@@ -152,6 +160,7 @@
 
     /// Accepts for good.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        self.accepting.set(true);
         loop {
             if self.connections() >= self.budget {
                 // At the edge the one that is needed least makes room; if there is none, new ones wait
--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -1,8 +1,15 @@
 //! What a gateway is told at its start.
 
+use crate::operator;
 use serde::Deserialize;
 use serde_json::Value;
-use std::{fmt, net::SocketAddr};
+use std::{
+    env::{self, VarError},
+    fmt,
+    net::SocketAddr,
+    os::fd::RawFd,
+    str::FromStr,
+};
 use weirusher::{Options, OptionsError};
 
 /// A worker as discovery shows it.
@@ -43,6 +50,7 @@
     seed: String,
     limits: Limits,
     counter: Option<SocketAddr>,
+    operator: Option<SocketAddr>,
     known: List,
     settings: Value,
 }
@@ -58,6 +66,10 @@
     /// Memory that it may hold, in bytes.
     pub memory: usize,
     pub counter: Option<SocketAddr>,
+    /// Where operators call; none where there are no such calls.
+    pub operator: Option<SocketAddr>,
+    /// The descriptor that clients come in by, where the platform holds their listening socket.
+    pub accept_fd: Option<RawFd>,
     pub known: Vec<Entry>,
     pub options: Options,
 }
@@ -69,8 +81,9 @@
     Malformed(serde_json::Error),
     BadSeed,
     BadTime(&'static str),
-    TooFewSockets(usize),
+    TooFewSockets(usize, usize),
     TooLittleMemory(usize),
+    BadVariable(&'static str),
     Options(OptionsError),
 }
 
@@ -82,20 +95,29 @@
             Self::Malformed(e) => write!(f, "the configuration is malformed: {e}"),
             Self::BadSeed => f.write_str("the configuration's seed is not a hexadecimal number"),
             Self::BadTime(key) => write!(f, "Options.Limits.{key} is not a usable time"),
-            Self::TooFewSockets(n) => {
-                write!(f, "{n} sockets are too few: {} at least", Config::LEAST_SOCKETS)
-            }
+            Self::TooFewSockets(n, least) => write!(f, "{n} sockets are too few: {least} at least"),
             Self::TooLittleMemory(n) => {
                 write!(f, "{n} MB of memory are too little: {} at least", Config::LEAST_MEMORY_MB)
             }
+            Self::BadVariable(name) => write!(f, "{name} can't be understood"),
             Self::Options(e) => write!(f, "the configuration's settings: {e}"),
         }
     }
 }
 
+/// What a variable of the environment says; `None` where it is unset or empty.
+fn variable<T: FromStr>(name: &'static str) -> Result<Option<T>, ConfigError> {
+    match env::var(name) {
+        Err(VarError::NotPresent) => Ok(None),
+        Ok(text) if text.is_empty() => Ok(None),
+        Ok(text) => text.parse().map(Some).map_err(|_| ConfigError::BadVariable(name)),
+        Err(VarError::NotUnicode(_)) => Err(ConfigError::BadVariable(name)),
+    }
+}
+
 impl Config {
-    /// The fewest descriptors that leave some for clients and workers.
-    pub const LEAST_SOCKETS: usize = 64;
+    /// The fewest descriptors that leave some for clients and workers; operators' calls come on top.
+    const LEAST_SOCKETS: usize = 64;
     /// The least memory, in MB, that leaves some beside the program itself, which takes about two.
     pub const LEAST_MEMORY_MB: usize = 16;
 
@@ -109,7 +131,7 @@
 
     /// Reads the file that `NODE_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
-        let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoPath)?;
+        let path = env::var_os("NODE_CONFIG").ok_or(ConfigError::NoPath)?;
         Self::read(&std::fs::read(path).map_err(ConfigError::Unreadable)?)
     }
 
@@ -121,8 +143,10 @@
         if let Some((key, _)) = times.into_iter().find(|(_, v)| !usable(*v)) {
             return Err(ConfigError::BadTime(key));
         }
-        if file.limits.sockets < Self::LEAST_SOCKETS {
-            return Err(ConfigError::TooFewSockets(file.limits.sockets));
+        let operator = file.operator.map_or_else(|| variable("NODE_OPERATOR"), |addr| Ok(Some(addr)))?;
+        let least = Self::LEAST_SOCKETS + operator.map_or(0, |_| operator::SOCKETS);
+        if file.limits.sockets < least {
+            return Err(ConfigError::TooFewSockets(file.limits.sockets, least));
         }
         if file.limits.memory_mb < Self::LEAST_MEMORY_MB {
             return Err(ConfigError::TooLittleMemory(file.limits.memory_mb));
@@ -137,6 +161,8 @@
             sockets: file.limits.sockets,
             memory,
             counter: file.counter,
+            operator,
+            accept_fd: variable("NODE_ACCEPT_FD")?,
             known: file.known.servers,
             options,
         })
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -1,5 +1,5 @@
 //! yardspur: the gateway on real sockets. Reads the configuration, wires the parts and ends in good order.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod clients;
 mod config;
@@ -8,17 +8,28 @@
 mod gateway;
 mod http;
 mod link;
+mod operator;
 mod workers;
 
 use clients::Clients;
 use config::{Config, ConfigError};
 use gateway::Hub;
-use std::{fmt, io, net::SocketAddr, process::ExitCode, rc::Rc, time::Duration};
+use operator::Operators;
+use socket2::SockRef;
+use std::{
+    fmt, fs, io,
+    net::SocketAddr,
+    os::fd::{FromRawFd, RawFd},
+    process::ExitCode,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     runtime::LocalOptions,
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
+    task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 use weirusher::SettingsError;
@@ -42,6 +53,7 @@
     Config(ConfigError),
     Settings(SettingsError),
     Listen(io::Error),
+    Operators(io::Error),
     System(io::Error),
     /// The named part has failed.
     Part(&'static str),
@@ -53,6 +65,7 @@
             Self::Config(e) => e.fmt(f),
             Self::Settings(e) => write!(f, "the configuration's settings: {e}"),
             Self::Listen(e) => write!(f, "can't listen: {e}"),
+            Self::Operators(e) => write!(f, "can't listen for operators: {e}"),
             Self::System(e) => write!(f, "can't start: {e}"),
             Self::Part(name) => write!(f, "the part that minds {name} has failed"),
         }
@@ -63,12 +76,22 @@
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::System)?;
     let mut int = signal(SignalKind::interrupt()).map_err(NodeError::System)?;
     let hangup = signal(SignalKind::hangup()).map_err(NodeError::System)?;
-    let listener = TcpListener::bind(config.listen).await.map_err(NodeError::Listen)?;
+    let listener = match config.accept_fd {
+        Some(fd) => inherited(fd).map_err(NodeError::Listen)?,
+        None => TcpListener::bind(config.listen).await.map_err(NodeError::Listen)?,
+    };
     let bound = listener.local_addr().map_err(NodeError::Listen)?;
     let name = config.name.clone();
     // Usual clients hold a third of the descriptors at most for requests. So the larger part may go to clients,
     // to those that bring none, and workers get enough for an attempt a request and some kept ones.
-    let shares = config.sockets - OTHERS;
+    let mut shares = config.sockets - OTHERS;
+    let operators = match config.operator {
+        Some(addr) => {
+            shares -= operator::SOCKETS;
+            Some(TcpListener::bind(addr).await.map_err(NodeError::Operators)?)
+        }
+        None => None,
+    };
     let to_workers = shares * 7 / 20;
     let bodies = config.memory / 8;
     let (place, places) = watch::channel(config.discovery);
@@ -78,9 +101,16 @@
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let reloads = tokio::task::spawn_local(reload(hangup, place, hub.clone()));
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
+    let mut calls = JoinSet::new();
     let clients = Clients::new(hub.clone(), shares - to_workers, bodies);
     let watch = tokio::task::spawn_local(clients.clone().watch());
     eprintln!("yardspur: {name} listens on {bound}");
+    if let Some(listener) = operators {
+        if let Ok(addr) = listener.local_addr() {
+            eprintln!("yardspur: operators call {addr}");
+        }
+        calls.spawn_local(Rc::new(Operators { clients: clients.clone() }).serve(listener));
+    }
     tokio::select! {
         () = clients.accept(&listener) => {}
         _ = term.recv() => {}
@@ -91,6 +121,7 @@
         _ = watch => return Err(NodeError::Part("clients' time")),
         _ = reloads => return Err(NodeError::Part("reloads")),
         _ = sweeps => return Err(NodeError::Part("idle connections")),
+        Some(_) = calls.join_next() => return Err(NodeError::Part("operators' calls")),
     }
     eprintln!("yardspur: {name} stops with {} in hand", hub.in_hand());
     drain(&hub, &clients, listener).await;
@@ -98,6 +129,23 @@
     Ok(())
 }
 
+/// Takes over the listening socket that the platform holds. Closing it closes this process's copy only.
+fn inherited(fd: RawFd) -> io::Result<TcpListener> {
+    // An error, not a closed descriptor of somebody else's, where the variable names no socket.
+    let link = fs::read_link(format!("/proc/self/fd/{fd}"))?;
+    if fd < 3 || !link.to_string_lossy().starts_with("socket:") {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "NODE_ACCEPT_FD names no socket"));
+    }
+    // SAFETY: it is open (seen above), was inherited for this use alone, and nothing else here owns it.
+    #[allow(unsafe_code)]
+    let listener = unsafe { std::net::TcpListener::from_raw_fd(fd) };
+    if !SockRef::from(&listener).is_listener()? {
+        return Err(io::Error::new(io::ErrorKind::InvalidInput, "NODE_ACCEPT_FD does not listen"));
+    }
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
 /// The way out: serve on while connections still come, then take no more, answer what is in hand, end.
 async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener) {
     let start = Instant::now();
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -1,12 +1,15 @@
 //! What stands round the gateway in its tests: workers, a counter and discovery on loopback sockets, and the
 //! built program itself. All wait on events, with limits far beyond what any of it takes.
+// No file of tests uses all of it.
+#![allow(dead_code)]
 
 use serde_json::{Value, json};
 use std::{
     collections::{BTreeMap, HashMap},
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    os::fd::OwnedFd,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc, Condvar, Mutex,
@@ -421,23 +424,45 @@
 
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
 
+/// What a process inherits from the platform.
+#[derive(Default)]
+pub struct Start<'a> {
+    /// The clients' listening socket, as descriptor 3.
+    pub socket: Option<&'a TcpListener>,
+    /// The folder that it shares with others of its name.
+    pub folder: Option<&'a Path>,
+}
+
 /// Starts the program on a file of its own that holds `config`.
 pub fn run(config: &str) -> (Child, PathBuf) {
+    run_as(config, Start::default())
+}
+
+pub fn run_as(config: &str, start: Start) -> (Child, PathBuf) {
     let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
     let name = format!("yardspur-test-{}-{number}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a writable folder for temporary files");
-    let child = Command::new(env!("CARGO_BIN_EXE_yardspur"))
-        .env("NODE_CONFIG", &path)
-        .stdin(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
+    let program = env!("CARGO_BIN_EXE_yardspur");
+    let mut command = Command::new(program);
+    if let Some(socket) = start.socket {
+        // The shell moves what it has as standard input to where the program looks for it.
+        command = Command::new("sh");
+        command.args(["-c", "exec 3<&0 </dev/null; exec \"$0\"", program]).env("NODE_ACCEPT_FD", "3");
+        command.stdin(OwnedFd::from(socket.try_clone().expect("a socket")));
+    } else {
+        command.stdin(Stdio::null());
+    }
+    if let Some(folder) = start.folder {
+        command.env("TMPDIR", folder);
+    }
+    let child = command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
     (child, path)
 }
 
 pub struct Node {
     pub addr: SocketAddr,
+    pub operator: SocketAddr,
     pub child: Child,
     path: PathBuf,
     pub log: Receiver<String>,
@@ -450,6 +475,8 @@
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
     pub sockets: usize,
+    /// Operators call on a free port.
+    pub operator: bool,
 }
 
 impl Setup {
@@ -460,7 +487,14 @@
         let discovery = Discovery::start(&entries);
         let addr = discovery.addr;
         (
-            Self { settings: settings(), known: entries, discovery: addr, counter: None, sockets: 256 },
+            Self {
+                settings: settings(),
+                known: entries,
+                discovery: addr,
+                counter: None,
+                sockets: 256,
+                operator: false,
+            },
             discovery,
         )
     }
@@ -470,18 +504,29 @@
             "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964", "counter": self.counter.map(|c| c.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "operator": self.operator.then_some("127.0.0.1:0"),
             "known": {"version": 0, "full": true, "servers": self.known}, "settings": self.settings,
         })
     }
 
     pub fn start(&self) -> Node {
-        let (mut child, path) = run(&self.config().to_string());
+        self.start_as(Start::default())
+    }
+
+    /// The same with more to inherit.
+    pub fn start_as(&self, start: Start) -> Node {
+        let (mut child, path) = run_as(&self.config().to_string(), start);
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        let mut node = Node { addr: "127.0.0.1:0".parse().expect("an address"), child, path, log };
-        let line = node.says("listens on ");
-        node.addr = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
+        let nowhere = "127.0.0.1:0".parse().expect("an address");
+        let mut node = Node { addr: nowhere, operator: nowhere, child, path, log };
+        let bound =
+            |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
+        node.addr = bound(node.says("listens on "));
+        if self.operator {
+            node.operator = bound(node.says("operators call "));
+        }
         node
     }
 }
@@ -531,6 +576,13 @@
         Client::connect(self.addr)
     }
 
+    /// One operators' call.
+    pub fn call(&self, line: &str) -> Message {
+        let mut client = Client::connect(self.operator);
+        client.send(&Ask { line: format!("{line} HTTP/1.1"), ..Ask::new("") });
+        client.answer().expect("a whole answer")
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, ask: &Ask) -> Message {
         self.client().ask(ask)
