Leave workers out by hand over upgrades, and tell operators the figures

PUT /workers/ID/maint and .../ready become an event to the module that no list or health news touches; the set is kept in TMPDIR, replaced atomically, before the yes. A worker put back is cold and used again at once within its budget. GET /stats gives the counts and gauges.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -2,6 +2,7 @@
 //! holds more than its part.
 
 use crate::{
+    figures,
     gateway::{Answer, Demand, Hub},
     http::{self, Body, Framing, Head, MAX_BODY, MAX_HEAD},
     link,
@@ -258,6 +259,7 @@
             };
             peer.now(Stage::Busy);
             let keep = head.keep;
+            let mut taken = None;
             let reply = if head.uri.path() == "/up" {
                 Reply::plain(if self.stopping.get() {
                     StatusCode::SERVICE_UNAVAILABLE
@@ -266,10 +268,13 @@
                 })
             } else {
                 match self.demand(head, body) {
-                    Ok(demand) => match self.answer(demand, socket, &mut buffer).await {
-                        Some(reply) => reply,
-                        None => return End::Close,
-                    },
+                    Ok(demand) => {
+                        taken = Some(self.hub.figures.take(demand.class));
+                        match self.answer(demand, socket, &mut buffer).await {
+                            Some(reply) => reply,
+                            None => return End::Close,
+                        }
+                    }
                     Err(status) => Reply::plain(status),
                 }
             };
@@ -278,6 +283,9 @@
             if socket.write_all(&render(&reply, keep)).await.is_err() {
                 return End::Close;
             }
+            if let Some(taken) = taken {
+                taken.end(reply.end());
+            }
             if !keep {
                 linger(socket, peer).await;
                 return End::Close;
@@ -471,6 +479,15 @@
 }
 
 impl Reply {
+    /// How the request ended for the client.
+    fn end(&self) -> figures::End {
+        match self.status {
+            StatusCode::OK => figures::End::Served,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => figures::End::Refused,
+            _ => figures::End::Failed,
+        }
+    }
+
     fn plain(status: StatusCode) -> Self {
         let retry_after = if status == StatusCode::SERVICE_UNAVAILABLE { NO_ROOM_ADVICE } else { 0.0 };
         Self { status, retry_after, body: Bytes::new() }
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -5,6 +5,8 @@
     config::{Config, Entry},
     counter::Counter,
     discovery,
+    figures::Figures,
+    keep::{Keep, KeepError},
     workers::{Ending, Forward, Trace, Workers, may_have_run},
 };
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
+    fmt,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -31,6 +34,24 @@
 /// Seconds after a request's end at which it is failed, should the module not have answered.
 const LAST_RESORT: f64 = 0.004;
 
+/// Why operators are told no.
+#[derive(Debug)]
+pub enum ByHandError {
+    /// Nobody has this id.
+    Unknown,
+    /// It holds in this process, but an upgrade would lose it.
+    Unkept(KeepError),
+}
+
+impl fmt::Display for ByHandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => f.write_str("no worker has this id"),
+            Self::Unkept(e) => write!(f, "not kept: {e}"),
+        }
+    }
+}
+
 /// The one final answer to a client.
 #[derive(Debug)]
 pub enum Answer {
@@ -131,9 +152,12 @@
     timer_order: Cell<u64>,
     earlier: Notify,
     workers: Workers,
+    pub figures: Rc<Figures>,
     counter: RefCell<Option<Rc<Counter>>>,
     /// Clients of the counter at addresses that hold no more, while calls are waited for on them.
     retired: RefCell<Vec<Rc<Counter>>>,
+    /// `None`: there are no operators' calls, or no folder.
+    keep: Option<Keep>,
 }
 
 impl Hub {
@@ -141,10 +165,12 @@
         let gateway = Gateway::new(config.options.settings.clone(), config.seed)?;
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
+        let figures = Figures::new(config.options.classes.len());
         let workers = Workers::new(
             worker_budget,
             Duration::from_secs_f64(config.options.conn_idle),
             Duration::from_secs_f64(config.options.connect_timeout),
+            figures.dispatches.clone(),
         );
         let hub = Rc::new(Self {
             clock: Clock::new(),
@@ -158,11 +184,17 @@
             timer_order: Cell::new(0),
             earlier: Notify::new(),
             workers,
+            figures,
             counter: RefCell::new(counter.map(|addr| Counter::new(addr, limit))),
             retired: RefCell::default(),
+            keep: config.operator.and_then(|_| Keep::new(&config.name)),
             config,
         });
         hub.list(ListKind::Stale, hub.config.known.clone());
+        match hub.keep.as_ref().map_or(Ok(Vec::new()), Keep::load) {
+            Ok(out) => out.into_iter().for_each(|server| hub.post(Event::ByHand { server, out: true })),
+            Err(error) => eprintln!("yardspur: {error}"),
+        }
         Ok(hub)
     }
 
@@ -205,6 +237,12 @@
         old.cloned().or_else(|| self.counter.borrow().clone())
     }
 
+    /// The figures for operators, as they stand.
+    pub fn render_figures(&self) -> String {
+        let targets = self.gateway.borrow().targets(self.clock.now());
+        self.figures.render(&self.config.options.classes, targets)
+    }
+
     /// How many requests wait for their answer.
     pub fn in_hand(&self) -> usize {
         self.open.borrow().values().filter(|o| o.answer.is_some()).count()
@@ -243,6 +281,19 @@
         self.post(Event::List { kind, servers });
     }
 
+    /// Leaves a worker out by hand, or puts it back. Kept before this returns, as a yes must hold over an upgrade.
+    pub fn by_hand(self: &Rc<Self>, id: &str, out: bool) -> Result<(), ByHandError> {
+        let server: ServerId = id.into();
+        if !self.gateway.borrow().knows(&server) {
+            return Err(ByHandError::Unknown);
+        }
+        eprintln!("yardspur: by hand: worker {server} {}", if out { "out" } else { "back" });
+        self.workers.left_out(&server);
+        self.post(Event::ByHand { server, out });
+        let gateway = self.gateway.borrow();
+        self.keep.as_ref().map_or(Ok(()), |keep| keep.store(gateway.left_out())).map_err(ByHandError::Unkept)
+    }
+
     /// Takes a client's request; its final answer comes by the receiver. `None`: its name is that of one that
     /// is open, and so another client's.
     pub fn take(self: &Rc<Self>, demand: Demand) -> Option<(JobId, oneshot::Receiver<Answer>)> {
--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -11,7 +11,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     future::{Future, poll_fn},
     io,
     mem::MaybeUninit,
@@ -50,6 +50,8 @@
     whole: Cell<Option<usize>>,
     /// The first bytes of the final answer have come.
     begun: Cell<bool>,
+    /// Is one more with each request written whole.
+    tally: RefCell<Option<Rc<Cell<u64>>>>,
 }
 
 impl Progress {
@@ -60,6 +62,18 @@
         self.begun.set(false);
     }
 
+    /// Counts the next request there, once it has been written whole.
+    pub fn tell(&self, tally: Option<&Rc<Cell<u64>>>) {
+        self.tally.replace(tally.cloned());
+    }
+
+    fn wrote(&self, bytes: usize) {
+        self.written.set(self.written.get() + bytes);
+        if self.sent_whole() {
+            self.tally.take().into_iter().for_each(|tally| tally.set(tally.get() + 1));
+        }
+    }
+
     /// The last byte has been handed to the socket: the server may have begun.
     pub fn sent_whole(&self) -> bool {
         self.whole.get().is_some_and(|whole| self.written.get() >= whole)
@@ -115,7 +129,7 @@
         loop {
             match self.socket.try_write(from) {
                 Ok(n) => {
-                    self.progress.written.set(self.progress.written.get() + n);
+                    self.progress.wrote(n);
                     return Poll::Ready(Ok(n));
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -5,8 +5,10 @@
 mod config;
 mod counter;
 mod discovery;
+mod figures;
 mod gateway;
 mod http;
+mod keep;
 mod link;
 mod operator;
 mod workers;
@@ -109,7 +111,7 @@
         if let Ok(addr) = listener.local_addr() {
             eprintln!("yardspur: operators call {addr}");
         }
-        calls.spawn_local(Rc::new(Operators { clients: clients.clone() }).serve(listener));
+        calls.spawn_local(Rc::new(Operators { hub: hub.clone(), clients: clients.clone() }).serve(listener));
     }
     tokio::select! {
         () = clients.accept(&listener) => {}
--- a/src/bin/yardspur/operator.rs
+++ b/src/bin/yardspur/operator.rs
@@ -3,7 +3,10 @@
 //! Nothing here waits on clients, workers or the counter. Calls run side by side on descriptors kept aside for
 //! them; callers that hold a connection without a whole call make room for others.
 
-use crate::clients::Clients;
+use crate::{
+    clients::Clients,
+    gateway::{ByHandError, Hub},
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -14,6 +17,7 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
 use std::{collections::VecDeque, convert::Infallible, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -37,6 +41,7 @@
 type Answer = Response<Full<Bytes>>;
 
 pub struct Operators {
+    pub hub: Rc<Hub>,
     pub clients: Rc<Clients>,
 }
 
@@ -78,6 +83,9 @@
         let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
         let (wanted, answer): (Method, &dyn Fn() -> Answer) = match path.as_slice() {
             ["healthcheck"] => (Method::GET, &|| self.health()),
+            ["stats"] => (Method::GET, &|| say(StatusCode::OK, self.hub.render_figures())),
+            ["workers", id, "maint"] => (Method::PUT, &|| self.by_hand(id, true)),
+            ["workers", id, "ready"] => (Method::PUT, &|| self.by_hand(id, false)),
             _ => return say(StatusCode::NOT_FOUND, "no such call\n"),
         };
         if *request.method() == wanted {
@@ -89,6 +97,17 @@
         no
     }
 
+    fn by_hand(&self, id: &str, out: bool) -> Answer {
+        let Ok(id) = percent_decode_str(id).decode_utf8() else {
+            return say(StatusCode::BAD_REQUEST, "the id is no text\n");
+        };
+        match self.hub.by_hand(&id, out) {
+            Ok(()) => say(StatusCode::OK, if out { "out\n" } else { "back\n" }),
+            Err(error @ ByHandError::Unknown) => say(StatusCode::NOT_FOUND, format!("{error}\n")),
+            Err(error) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+        }
+    }
+
     fn health(&self) -> Answer {
         if self.clients.accepting() {
             say(StatusCode::OK, "ok\n")
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -93,6 +93,8 @@
     keep_most: Duration,
     keep: Cell<Duration>,
     connect: Duration,
+    /// Attempts written whole.
+    dispatches: Rc<Cell<u64>>,
 }
 
 /// Where an attempt goes.
@@ -105,11 +107,11 @@
 
 impl Workers {
     /// `budget` connections at most, none kept idle for `idle_limit`, none waited for past `connect`.
-    pub fn new(budget: usize, idle_limit: Duration, connect: Duration) -> Self {
+    pub fn new(budget: usize, idle_limit: Duration, connect: Duration, dispatches: Rc<Cell<u64>>) -> Self {
         // A worker closes at its limit, and a request that crosses that is lost: close well before.
         let keep_most = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
         let (hosts, lives, keep) = (RefCell::default(), Cell::new(0), Cell::new(keep_most));
-        Self { hosts, lives, open: Rc::default(), budget, keep_most, keep, connect }
+        Self { hosts, lives, open: Rc::default(), budget, keep_most, keep, connect, dispatches }
     }
 
     /// Takes in the list: the whole one, or what has changed, each with its address if it has a usable one.
@@ -135,6 +137,15 @@
         }
     }
 
+    /// Operators have left the worker out and restart it: its connections are of no further use.
+    pub fn left_out(&self, id: &ServerId) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(id) {
+            self.lives.set(self.lives.get() + 1);
+            host.life = self.lives.get();
+            host.idle.clear();
+        }
+    }
+
     /// Where to reach a worker; `None` if the list does not name it.
     pub fn target(&self, id: &ServerId) -> Option<Target> {
         self.hosts.borrow().get(id).map(|h| Target { id: id.clone(), addr: h.addr, life: h.life })
@@ -194,6 +205,7 @@
         trace: &Trace,
         build: impl Fn() -> Request<Full<Bytes>>,
         body: usize,
+        tally: Option<&Rc<Cell<u64>>>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Status> {
         loop {
             let (mut pooled, kept) = match self.take(target) {
@@ -201,6 +213,7 @@
                 None => (self.fresh(target).await?, false),
             };
             *trace.borrow_mut() = Some(pooled.link.progress());
+            pooled.link.progress().tell(tally);
             let idle = pooled.since.elapsed();
             match pooled.link.exchange(build(), body, MAX_BODY).await {
                 Ok((parts, bytes)) => {
@@ -242,7 +255,9 @@
             }
             request
         };
-        let (status, headers, body) = match self.exchange(target, trace, build, what.body.len()).await {
+        let tally = Some(&self.dispatches);
+        let (status, headers, body) = match self.exchange(target, trace, build, what.body.len(), tally).await
+        {
             Ok(answer) => answer,
             Err(status) => return Ending::of(status),
         };
@@ -264,7 +279,7 @@
             request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
             request
         };
-        match self.exchange(target, &Trace::default(), build, 0).await {
+        match self.exchange(target, &Trace::default(), build, 0, None).await {
             Ok((StatusCode::OK, _, body)) => {
                 let load = std::str::from_utf8(&body).map(report).unwrap_or_default();
                 Ending { status: Status::Ok, body, load }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -316,6 +316,14 @@
         /// The server's report, if one came.
         load: Load,
     },
+    /// Operators have left a server out by hand, or put it back; until then it is sent nothing, whatever the list
+    /// says.
+    ByHand {
+        /// The server.
+        server: ServerId,
+        /// It is out.
+        out: bool,
+    },
     /// The client left; nothing more is owed.
     Left {
         /// The request.
@@ -348,6 +356,15 @@
     },
 }
 
+/// How many servers there are, and how many of them are sent nothing at present.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Targets {
+    /// Servers that the list names.
+    pub listed: usize,
+    /// Those of them that are avoided: by hand, as they drain, or as they have failed of late.
+    pub avoided: usize,
+}
+
 /// What a gateway wants done.
 #[derive(Debug, Clone, PartialEq)]
 #[non_exhaustive]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 
 // ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
@@ -217,6 +217,15 @@
     cold: Store,
 }
 
+impl Host {
+    /// A new life: nothing learned of an old one holds. What is out stays out.
+    fn renew(&mut self, cold_since: Time, cold: Store, latency: f64) {
+        let Self { zone, cell, running, listed, inflight, .. } = *self;
+        *self = Self { zone, cell, running, listed, inflight, cold_since, cold, latency, ..Self::default() };
+        self.out_for = EJECT.0;
+    }
+}
+
 /// The decisions of one gateway.
 #[derive(Debug, Default)]
 pub struct Gateway {
@@ -231,6 +240,8 @@
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
     servers: BTreeMap<ServerId, Host>,
+    /// Servers that operators have left out, listed or not.
+    by_hand: BTreeSet<ServerId>,
     calls: BTreeMap<u64, VecDeque<Call>>,
     due: BTreeMap<u64, Due>,
     next_token: u64,
@@ -333,6 +344,7 @@
                 self.outcome(&job, attempt, status, over, settled);
                 customer.into_iter().for_each(|c| self.fill_slots(&c));
             }
+            Event::ByHand { server, out } => self.by_hand(server, out),
             Event::Left { job } => self.over(&job),
             Event::Timer { token } => self.timer(token),
             Event::Probed { .. } => {} // None is asked for: attempts tell enough, and probes cost.
@@ -386,19 +398,48 @@
             let host = self.servers.entry(entry.id).or_default();
             (host.zone, host.cell) = (entry.zone, entry.cell);
             if host.out_for == 0.0 || entry.started > host.cold_since {
-                // A new server or a new life: nothing learned of an old one holds. What is out stays out.
-                let cold = Store { level: phase, at: self.now };
-                let (inflight, cold_since) = (host.inflight, entry.started);
-                let Host { zone, cell, .. } = *host;
-                *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
-                host.out_for = EJECT.0;
+                host.renew(entry.started, Store { level: phase, at: self.now }, latency);
             }
             host.running = entry.lifecycle == Lifecycle::Running;
             host.listed = entry.lifecycle != Lifecycle::Gone;
         }
         // One that is gone is kept only while attempts are out to it.
         self.servers.retain(|_, h| h.listed || h.inflight > 0.0);
-        self.names = self.servers.iter().filter(|(_, h)| h.running).map(|(id, _)| id.clone()).collect();
+        self.name_usable();
+    }
+
+    fn name_usable(&mut self) {
+        let usable = |(id, host): &(&ServerId, &Host)| host.running && !self.by_hand.contains(*id);
+        self.names = self.servers.iter().filter(usable).map(|(id, _)| id.clone()).collect();
+    }
+
+    /// Whether the list names the server, or operators have left it out.
+    pub fn knows(&self, server: &ServerId) -> bool {
+        self.servers.get(server).is_some_and(|h| h.listed) || self.by_hand.contains(server)
+    }
+
+    /// How many servers are listed, and how many of them are avoided at `now`.
+    pub fn targets(&self, now: Time) -> Targets {
+        let listed = || self.servers.iter().filter(|(_, h)| h.listed);
+        let avoids = |id, h: &Host| !h.running || now < h.out_until || self.by_hand.contains(id);
+        let avoided = listed().filter(|(id, h)| avoids(*id, h)).count();
+        Targets { listed: listed().count(), avoided }
+    }
+
+    /// The servers that operators have left out.
+    pub fn left_out(&self) -> impl Iterator<Item = &ServerId> {
+        self.by_hand.iter()
+    }
+
+    /// Operators restart a server while it is out, so it comes back cold, and what was learned of it is void.
+    fn by_hand(&mut self, server: ServerId, out: bool) {
+        if out {
+            self.by_hand.insert(server);
+        } else if self.by_hand.remove(&server) {
+            let (cold, latency) = (Store { level: self.draw(), at: self.now }, self.latency);
+            self.servers.get_mut(&server).into_iter().for_each(|h| h.renew(self.now, cold, latency));
+        }
+        self.name_usable();
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
--- /dev/null
+++ b/tests/by_hand.rs
@@ -0,0 +1,81 @@
+//! Workers that operators have left out, to the module alone.
+
+mod common;
+use common::*;
+use weirusher::*;
+
+fn by_hand(rig: &mut Rig, name: &str, out: bool) {
+    rig.event(Event::ByHand { server: name.into(), out });
+}
+
+/// Sends `n` requests that stay open; where they went.
+fn send(rig: &mut Rig, tag: &str, n: usize) -> Vec<ServerId> {
+    (0..n).flat_map(|i| sends(&rig.ask(&format!("{tag}{i}")))).map(|(_, server)| server).collect()
+}
+
+fn rig() -> Rig {
+    let mut settings = settings();
+    settings.plans = vec![plan(0.0, 0.0)];
+    Rig::new(settings)
+}
+
+#[test]
+fn no_news_of_the_list_lifts_what_operators_have_left_out() {
+    let mut rig = rig();
+    by_hand(&mut rig, "a", true);
+    by_hand(&mut rig, "a", true);
+    let full = |started| ["a", "b", "c"].map(|n| server(n, Lifecycle::Running, started)).to_vec();
+    for (kind, servers) in [
+        (ListKind::Full, full(0.0)),
+        (ListKind::Changes, vec![server("a", Lifecycle::Draining, 0.0)]),
+        (ListKind::Changes, vec![server("a", Lifecycle::Running, rig.now - 1.0)]),
+        (ListKind::Changes, vec![server("a", Lifecycle::Gone, 0.0)]),
+        (ListKind::Full, full(rig.now - 0.5)),
+    ] {
+        rig.list(kind, servers);
+        let went = send(&mut rig, "j", 2);
+        assert!(went.iter().all(|id| &**id != "a"), "{kind:?}: {went:?}");
+        rig.now += 1.0;
+    }
+    assert!(rig.gateway.knows(&"a".into()) && !rig.gateway.knows(&"nobody".into()));
+    // For two calls out one call back.
+    by_hand(&mut rig, "a", false);
+    assert_eq!(rig.gateway.left_out().count(), 0);
+}
+
+#[test]
+fn further_attempts_heed_a_call_that_came_meanwhile() {
+    let mut rig = rig();
+    let out = rig.ask("j");
+    let [(job, first)] = &sends(&out)[..] else { panic!("one send") };
+    let others: Vec<&str> = ["a", "b", "c"].into_iter().filter(|n| *n != &**first).collect();
+    by_hand(&mut rig, others[0], true);
+    let out = rig.outcome(job, 0, first, Status::ConnectFailed);
+    assert_eq!(sends(&out).iter().map(|(_, s)| &**s).collect::<Vec<_>>(), [others[1]]);
+}
+
+#[test]
+fn a_worker_that_is_put_back_is_cold_but_used_within_seconds() {
+    let mut rig = rig();
+    let ask = |rig: &mut Rig, tag: &str| {
+        // Twenty requests a second, each answered at once.
+        let mut to_a = 0;
+        for i in 0..20 {
+            rig.now += 0.05;
+            for (job, server) in sends(&rig.ask(&format!("{tag}{i}"))) {
+                to_a += usize::from(&*server == "a");
+                rig.outcome(&job, 0, &server, Status::Ok);
+            }
+        }
+        to_a
+    };
+    let before: usize = (0..10).map(|i| ask(&mut rig, &format!("x{i}-"))).sum();
+    assert!(before > 0, "it was used");
+    by_hand(&mut rig, "a", true);
+    assert_eq!((0..3).map(|i| ask(&mut rig, &format!("y{i}-"))).sum::<usize>(), 0);
+    by_hand(&mut rig, "a", false);
+    let cold: Vec<usize> = (0..3).map(|i| ask(&mut rig, &format!("z{i}-"))).collect();
+    assert!(cold.iter().sum::<usize>() > 0, "used within 3 s: {cold:?}");
+    // Twenty units a second over three servers; at 0.2 of its capacity it surely bears a third of that.
+    assert!(cold[0] <= 4, "spared while it is cold: {cold:?}");
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -453,9 +453,10 @@
     } else {
         command.stdin(Stdio::null());
     }
-    if let Some(folder) = start.folder {
-        command.env("TMPDIR", folder);
-    }
+    match start.folder {
+        Some(folder) => command.env("TMPDIR", folder),
+        None => command.env_remove("TMPDIR"),
+    };
     let child = command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
     (child, path)
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,9 +5,13 @@
 use std::{
     io::{Read, Write},
     net::TcpListener,
+    path::PathBuf,
     process::{Command, Stdio},
+    sync::Arc,
 };
 
+const ERROR: &str = "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n";
+
 fn operated(workers: &[&Worker]) -> (Setup, Discovery) {
     let (mut setup, discovery) = Setup::new(workers);
     setup.operator = true;
@@ -95,3 +99,120 @@
         assert!(!output.status.success() && said.lines().count() == 1, "{fd}: {said}");
     }
 }
+
+/// A folder of a test's own, gone with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("yardspur-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).expect("a writable folder for temporary files");
+        Self(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_worker_left_out_by_hand_gets_nothing_until_it_is_put_back() {
+    let (one, two) = (Worker::start(Does::Serves("one")), Worker::start(Does::Serves("two")));
+    let (setup, discovery) = operated(&[&one, &two]);
+    let node = setup.start();
+    assert_eq!(node.call("PUT /workers/w0/maint").status(), 200);
+    assert_eq!(node.call("PUT /workers/w%30/maint").status(), 200, "the same, twice");
+    // The list says that it serves.
+    discovery.told(discovery.change(entry("w0", one.addr, "SERVING")));
+    (0..20).for_each(|i| assert_eq!(node.ask(&Ask::submit(&format!("a{i}"))).body, b"two"));
+    for (call, status) in [
+        ("PUT /workers/nobody/maint", 404),
+        ("PUT /workers/nobody/ready", 404),
+        ("PUT /workers//maint", 404),
+        ("PUT /workers/w0", 404),
+        ("PUT /workers/%ff/maint", 400),
+        ("GET /workers/w0/maint", 405),
+    ] {
+        assert_eq!(node.call(call).status(), status, "{call}");
+    }
+    assert_eq!(node.call("PUT /workers/w0/ready").status(), 200);
+    assert_eq!(node.call("PUT /workers/w1/maint").status(), 200);
+    for i in 0.. {
+        // Cold: what it can't take yet is refused.
+        match node.ask(&Ask::submit(&format!("b{i}"))) {
+            served if served.status() == 200 => return assert_eq!(served.body, b"one"),
+            refused => assert_eq!(refused.status(), 429),
+        }
+    }
+}
+
+#[test]
+fn workers_left_out_stay_out_after_a_kill_and_a_torn_file_is_no_crash() {
+    let (one, two) = (Worker::start(Does::Serves("one")), Worker::start(Does::Serves("two")));
+    let (setup, _discovery) = operated(&[&one, &two]);
+    let folder = Folder::new("kept");
+    let start = || setup.start_as(Start { folder: Some(&folder.0), ..Start::default() });
+    let mut node = start();
+    assert_eq!(node.call("PUT /workers/w0/maint").status(), 200);
+    node.child.kill().expect("a child");
+    node.exit();
+    let node = start();
+    (0..20).for_each(|i| assert_eq!(node.ask(&Ask::submit(&format!("a{i}"))).body, b"two"));
+    drop(node);
+    let file = folder.0.join("yardspur-n0.out.json");
+    let whole = std::fs::read_to_string(&file).expect("it was kept");
+    for text in [&whole[..whole.len() / 2], "", "[]", &whole.replace("n0", "n1"), &whole.replace(":1", ":2")]
+    {
+        std::fs::write(&file, text).expect("a writable folder");
+        let node = start();
+        assert_eq!(node.ask(&Ask::submit("b")).status(), 200);
+        assert_eq!(node.call("PUT /workers/w1/maint").status(), 200, "and is replaced");
+    }
+}
+
+#[test]
+fn figures_tell_what_clients_and_workers_have_seen() {
+    let (one, two) = (Worker::start(Does::Serves("ok")), Worker::start(Does::Serves("ok")));
+    let (setup, _discovery) = operated(&[&one, &two]);
+    let node = setup.start();
+    let figure = |name: &str| -> u64 {
+        let answer = node.call("GET /stats");
+        assert!(answer.status() == 200 && answer.header("content-type").starts_with("text/plain"));
+        let text = String::from_utf8(answer.body).expect("text");
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' ')?.parse().ok());
+        line.unwrap_or_else(|| panic!("{name} in {text}"))
+    };
+    let classes = ["check-answer", "submit"];
+    for (kind, class) in ["success", "overload", "error"].iter().flat_map(|k| classes.map(|c| (k, c))) {
+        assert_eq!(figure(&format!("svc_{kind}{{type=\"{class}\"}}")), 0, "from the start");
+    }
+    (0..3).for_each(|i| assert_eq!(node.ask(&Ask::new(&format!("a{i}"))).status(), 200));
+    [&one, &two].iter().for_each(|w| w.now(Does::Says(ERROR)));
+    assert_eq!(node.ask(&Ask::submit("b")).status(), 502);
+    assert_eq!(node.ask(&Ask::new("c")).status(), 429);
+    // Not a request: counted nowhere.
+    assert_eq!(node.ask(&Ask::new("d").without("X-Plan")).status(), 400);
+    assert_eq!(figure("svc_success{type=\"check-answer\"}"), 3);
+    assert_eq!(figure("svc_success{type=\"submit\"}"), 0);
+    assert_eq!(figure("svc_overload{type=\"check-answer\"}"), 1);
+    assert_eq!(figure("svc_error{type=\"submit\"}"), 1);
+    let whole = one.rest().len() + two.rest().len();
+    assert_eq!(figure("svc_dispatches"), whole as u64);
+    // In hand: until the client has its answer, or has gone.
+    let gate = Arc::new(Gate::default());
+    [&one, &two].iter().for_each(|w| w.now(Does::Waits(gate.clone())));
+    let mut clients: Vec<Client> = (0..3).map(|_| node.client()).collect();
+    clients.iter_mut().enumerate().for_each(|(i, c)| c.send(&Ask::submit(&format!("w{i}"))));
+    while figure("svc_concurrent") != 3 {}
+    drop(clients.pop());
+    while figure("svc_concurrent") != 2 {}
+    gate.open();
+    clients.iter_mut().for_each(|c| assert_eq!(c.answer().map(|a| a.status()), Some(200)));
+    while figure("svc_concurrent") != 0 {}
+    assert_eq!(figure("svc_success{type=\"submit\"}"), 2);
+    assert_eq!((figure("svc_targets"), figure("svc_targets_disabled")), (2, 0));
+    assert_eq!(node.call("PUT /workers/w1/maint").status(), 200);
+    assert_eq!((figure("svc_targets"), figure("svc_targets_disabled")), (2, 1));
+}
