Let old and new process of an upgrade meet, share all bounds and hand over what is known

They talk over a Unix socket in TMPDIR; its end tells each that the other has gone. Meanwhile the even share, open caps, cold budgets, connections to workers and clients are dealt out between them, calls by hand reach both, and the new one knows which workers are cold and what they carry. After SIGTERM the old one leaves new clients to the new one, serves kept connections with Connection: close, and ends after its last answer.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -163,10 +163,12 @@
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         self.accepting.set(true);
         loop {
-            if self.connections() >= self.budget {
+            if self.connections() >= self.share(self.budget) {
                 // At the edge the one that is needed least makes room; if there is none, new ones wait
-                // unaccepted until one ends or there is.
-                self.make_room();
+                // unaccepted until one ends or there is, or a process that has followed this one takes them.
+                if !self.hub.siblings.followed() {
+                    self.make_room();
+                }
                 let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
                 continue;
             }
@@ -187,6 +189,11 @@
         }
     }
 
+    /// This process's part of what all of the gateway's may hold.
+    fn share(&self, whole: usize) -> usize {
+        whole / self.hub.siblings.sharing().1 as usize
+    }
+
     fn make_room(&self) {
         let peers = self.peers.borrow();
         let longest = |stages: &[Stage], spared: Duration| {
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -7,6 +7,7 @@
     discovery,
     figures::Figures,
     keep::{Keep, KeepError},
+    siblings::Siblings,
     workers::{Ending, Forward, Trace, Workers, may_have_run},
 };
 use bytes::Bytes;
@@ -25,7 +26,8 @@
     task::AbortHandle,
 };
 use weirusher::{
-    Action, Event, Gateway, JobId, ListKind, Load, Request, Server, ServerId, SettingsError, Status, Time,
+    Action, Event, Gateway, JobId, ListKind, Load, Memory, Request, Server, ServerId, SettingsError, Status,
+    Time,
 };
 
 /// Clients of the counter at old addresses, at most: several reloads in a row leave no more.
@@ -156,6 +158,8 @@
     counter: RefCell<Option<Rc<Counter>>>,
     /// Clients of the counter at addresses that hold no more, while calls are waited for on them.
     retired: RefCell<Vec<Rc<Counter>>>,
+    /// Other processes of this gateway.
+    pub siblings: Siblings,
     /// `None`: there are no operators' calls, or no folder.
     keep: Option<Keep>,
 }
@@ -187,15 +191,38 @@
             figures,
             counter: RefCell::new(counter.map(|addr| Counter::new(addr, limit))),
             retired: RefCell::default(),
+            siblings: Siblings::default(),
             keep: config.operator.and_then(|_| Keep::new(&config.name)),
             config,
         });
         hub.list(ListKind::Stale, hub.config.known.clone());
-        match hub.keep.as_ref().map_or(Ok(Vec::new()), Keep::load) {
-            Ok(out) => out.into_iter().for_each(|server| hub.post(Event::ByHand { server, out: true })),
+        Ok(hub)
+    }
+
+    /// Takes over the workers left out that the last process has kept.
+    pub fn recall(self: &Rc<Self>) {
+        match self.keep.as_ref().map_or(Ok(Vec::new()), Keep::load) {
+            Ok(out) => out.into_iter().for_each(|server| self.post(Event::ByHand { server, out: true })),
             Err(error) => eprintln!("yardspur: {error}"),
         }
-        Ok(hub)
+    }
+
+    /// Takes over what an elder process knows.
+    pub fn inherit(self: &Rc<Self>, memory: Memory) {
+        self.post(Event::Inherit(memory));
+    }
+
+    /// What a younger process should know.
+    pub fn memory(&self) -> Memory {
+        self.gateway.borrow().memory()
+    }
+
+    /// So many processes of this gateway are there now: what it may hold is dealt out among them.
+    pub fn share(self: &Rc<Self>) {
+        let (place, of) = self.siblings.sharing();
+        eprintln!("yardspur: one of {of} at work for this gateway");
+        self.workers.share(of as usize);
+        self.post(Event::Sharing { place, of });
     }
 
     /// Connects to the counter before the first call needs it.
@@ -287,13 +314,19 @@
         if !self.gateway.borrow().knows(&server) {
             return Err(ByHandError::Unknown);
         }
-        eprintln!("yardspur: by hand: worker {server} {}", if out { "out" } else { "back" });
-        self.workers.left_out(&server);
-        self.post(Event::ByHand { server, out });
+        self.siblings.tell(&server, out);
+        self.heed(&server, out);
         let gateway = self.gateway.borrow();
         self.keep.as_ref().map_or(Ok(()), |keep| keep.store(gateway.left_out())).map_err(ByHandError::Unkept)
     }
 
+    /// Operators have told this process, or one beside it.
+    pub fn heed(self: &Rc<Self>, server: &ServerId, out: bool) {
+        eprintln!("yardspur: by hand: worker {server} {}", if out { "out" } else { "back" });
+        self.workers.left_out(server);
+        self.post(Event::ByHand { server: server.clone(), out });
+    }
+
     /// Takes a client's request; its final answer comes by the receiver. `None`: its name is that of one that
     /// is open, and so another client's.
     pub fn take(self: &Rc<Self>, demand: Demand) -> Option<(JobId, oneshot::Receiver<Answer>)> {
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -11,6 +11,7 @@
 mod keep;
 mod link;
 mod operator;
+mod siblings;
 mod workers;
 
 use clients::Clients;
@@ -40,10 +41,15 @@
 const SERVE_ON: Duration = Duration::from_millis(500);
 /// A connection accepted last has this long to bring its request.
 const LAST_REQUESTS: Duration = Duration::from_millis(650);
-/// By then everything in hand has its final answer; SIGKILL comes 3.7 s after SIGTERM at the earliest.
-const ANSWER_BY: Duration = Duration::from_millis(3300);
-/// By then the process has ended.
-const END_BY: Duration = Duration::from_millis(3500);
+/// SIGKILL comes so long after SIGTERM and the longest time that a client waits, of which no more than so much
+/// counts.
+const KILL: (Duration, Duration) = (Duration::from_millis(700), Duration::from_secs(3));
+/// With a process beside this one, kept connections are closed so long before SIGKILL.
+const LAST_ANSWERS: Duration = Duration::from_millis(1200);
+/// So long before SIGKILL everything in hand has its final answer ...
+const ANSWER_BY: Duration = Duration::from_millis(400);
+/// ... and the process has ended.
+const END_BY: Duration = Duration::from_millis(200);
 /// Between looks for idle connections that are due.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors beside clients and workers: the standard three, runtime, signals, listener, discovery, a
@@ -84,12 +90,14 @@
     };
     let bound = listener.local_addr().map_err(NodeError::Listen)?;
     let name = config.name.clone();
+    let longest = Duration::try_from_secs_f64(config.options.deadline).unwrap_or(KILL.1);
+    let kill = KILL.0 + longest.min(KILL.1);
     // Usual clients hold a third of the descriptors at most for requests. So the larger part may go to clients,
     // to those that bring none, and workers get enough for an attempt a request and some kept ones.
     let mut shares = config.sockets - OTHERS;
     let operators = match config.operator {
         Some(addr) => {
-            shares -= operator::SOCKETS;
+            shares -= operator::SOCKETS + siblings::SOCKETS;
             Some(TcpListener::bind(addr).await.map_err(NodeError::Operators)?)
         }
         None => None,
@@ -98,12 +106,19 @@
     let bodies = config.memory / 8;
     let (place, places) = watch::channel(config.discovery);
     let hub = Hub::new(config, to_workers).map_err(NodeError::Settings)?;
+    let mut calls = JoinSet::new();
+    if operators.is_some() {
+        let (followed, door) = siblings::meet(&hub).await;
+        if !followed {
+            hub.recall();
+        }
+        door.into_iter().for_each(|door| drop(calls.spawn_local(siblings::welcome(hub.clone(), door))));
+    }
     hub.start_counter();
     let discovery = tokio::task::spawn_local(discovery::follow(places, hub.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let reloads = tokio::task::spawn_local(reload(hangup, place, hub.clone()));
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
-    let mut calls = JoinSet::new();
     let clients = Clients::new(hub.clone(), shares - to_workers, bodies);
     let watch = tokio::task::spawn_local(clients.clone().watch());
     eprintln!("yardspur: {name} listens on {bound}");
@@ -123,10 +138,10 @@
         _ = watch => return Err(NodeError::Part("clients' time")),
         _ = reloads => return Err(NodeError::Part("reloads")),
         _ = sweeps => return Err(NodeError::Part("idle connections")),
-        Some(_) = calls.join_next() => return Err(NodeError::Part("operators' calls")),
+        Some(_) = calls.join_next() => return Err(NodeError::Part("operators and siblings")),
     }
     eprintln!("yardspur: {name} stops with {} in hand", hub.in_hand());
-    drain(&hub, &clients, listener).await;
+    drain(&hub, &clients, listener, kill).await;
     eprintln!("yardspur: {name} has stopped");
     Ok(())
 }
@@ -149,11 +164,26 @@
 }
 
 /// The way out: serve on while connections still come, then take no more, answer what is in hand, end.
-async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener) {
+///
+/// Where another process takes new clients, kept connections are served for longer: their clients lose nothing
+/// by a close only while they have nothing under way.
+async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener, kill: Duration) {
     let start = Instant::now();
     clients.stop();
-    let _ = timeout_at(start + SERVE_ON, clients.accept(&listener)).await;
+    let followed = hub.siblings.followed();
+    if !followed {
+        let _ = timeout_at(start + SERVE_ON, clients.accept(&listener)).await;
+    }
     drop(listener);
+    let last_requests = if followed { kill.saturating_sub(LAST_ANSWERS) } else { LAST_REQUESTS };
+    let answered = async {
+        while clients.connections() > 0 {
+            clients.one_ended().await;
+        }
+    };
+    if timeout_at(start + last_requests.max(LAST_REQUESTS), answered).await.is_ok() && followed {
+        return;
+    }
     sleep_until(start + LAST_REQUESTS).await;
     clients.close();
     let answered = async {
@@ -162,9 +192,9 @@
         }
     };
     let mut answered = std::pin::pin!(answered);
-    if timeout_at(start + ANSWER_BY, answered.as_mut()).await.is_err() {
+    if timeout_at(start + (kill - ANSWER_BY), answered.as_mut()).await.is_err() {
         hub.fail_all();
-        let _ = timeout_at(start + END_BY, answered).await;
+        let _ = timeout_at(start + (kill - END_BY), answered).await;
     }
 }
 
--- /dev/null
+++ b/src/bin/yardspur/siblings.rs
@@ -0,0 +1,271 @@
+//! Processes of one gateway side by side, as in an upgrade: what they tell each other, over a Unix socket in the
+//! folder that they share.
+//!
+//! Each listens on a socket of its own. A new one calls all that it finds there, so the younger always calls the
+//! elder. An open connection between two means that both are there; its end, however it came, that the other has
+//! gone. Words are lines of JSON.
+
+use crate::{gateway::Hub, keep};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    fmt, fs, io,
+    path::{Path, PathBuf},
+    process,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{
+        UnixListener, UnixStream,
+        unix::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::mpsc,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+use weirusher::{Memory, ServerId};
+
+/// Siblings at once; an upgrade takes one.
+const MOST: usize = 4;
+/// Descriptors that they take: one each, the listener, one just accepted.
+pub const SOCKETS: usize = MOST + 2;
+/// Longest time for an elder to say what it knows: a process that is stuck must not hold up the new one.
+const MEET: Duration = Duration::from_millis(500);
+/// Pause after a failure to accept.
+const PAUSE: Duration = Duration::from_millis(20);
+/// Longest word: some 200 bytes for each worker.
+const MAX_WORD: u64 = 1 << 20;
+/// Words that may wait for a sibling; one that takes none is as good as gone.
+const WAITING: usize = 64;
+/// The words' form; a process that speaks another one is not talked to.
+const FORM: u32 = 1;
+/// The ending of the sockets' names.
+const ENDING: &str = ".sock";
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Word {
+    /// The younger's first word.
+    Hello {
+        form: u32,
+        node: String,
+    },
+    /// The elder's first word.
+    Knows(Memory),
+    ByHand {
+        server: ServerId,
+        out: bool,
+    },
+}
+
+#[derive(Debug)]
+enum Fault {
+    Socket(io::Error),
+    Silent,
+    Malformed(serde_json::Error),
+    /// A word that does not belong there, in another form, for another node, or too long.
+    Foreign,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Socket(e) => e.fmt(f),
+            Self::Silent => f.write_str("no word in time"),
+            Self::Malformed(e) => write!(f, "a malformed word: {e}"),
+            Self::Foreign => f.write_str("a word that does not belong here"),
+        }
+    }
+}
+
+struct Sibling {
+    elder: bool,
+    words: mpsc::Sender<Word>,
+}
+
+/// The live siblings of this process.
+#[derive(Default)]
+pub struct Siblings {
+    known: RefCell<BTreeMap<u64, Sibling>>,
+    numbers: Cell<u64>,
+}
+
+impl Siblings {
+    /// Place among the processes of this gateway, the eldest first, and how many there are.
+    pub fn sharing(&self) -> (u32, u32) {
+        let known = self.known.borrow();
+        (known.values().filter(|s| s.elder).count() as u32, 1 + known.len() as u32)
+    }
+
+    /// A younger process takes clients, too.
+    pub fn followed(&self) -> bool {
+        self.known.borrow().values().any(|s| !s.elder)
+    }
+
+    /// Tells all of them that operators have left a worker out, or put it back.
+    pub fn tell(&self, server: &ServerId, out: bool) {
+        let word = || Word::ByHand { server: server.clone(), out };
+        // One that takes no words loses its connection, which tells both sides.
+        self.known.borrow_mut().retain(|_, sibling| sibling.words.try_send(word()).is_ok());
+    }
+}
+
+/// This process's own socket, taken out of the folder with it.
+pub struct Door {
+    listener: UnixListener,
+    path: PathBuf,
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        // One that stays is found dead by the next process, which removes it.
+        let _ = fs::remove_file(&self.path);
+    }
+}
+
+/// Calls the elder siblings, takes over what they know, and opens the door for younger ones; whether there was an
+/// elder. Without a folder, or one that takes no socket, this process stands alone.
+pub async fn meet(hub: &Rc<Hub>) -> (bool, Option<Door>) {
+    let node = &hub.config().name;
+    let Some((folder, name)) = keep::place(node) else { return (false, None) };
+    let mut met = false;
+    for path in doors(&folder, &name) {
+        match call(hub, &path).await {
+            Ok(()) => met = true,
+            Err(Fault::Socket(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                // Its process is gone; a failure to tidy up leaves it to the next one.
+                let _ = fs::remove_file(&path);
+            }
+            Err(fault) => eprintln!("yardspur: {} is no sibling: {fault}", path.display()),
+        }
+    }
+    let path = folder.join(format!("{name}.{}{ENDING}", process::id()));
+    // Of a process that had this number before.
+    let _ = fs::remove_file(&path);
+    match UnixListener::bind(&path) {
+        Ok(listener) => (met, Some(Door { listener, path })),
+        Err(e) => {
+            eprintln!("yardspur: no process can follow this one: {e}");
+            (met, None)
+        }
+    }
+}
+
+/// The sockets of this node's processes, as far as they may be siblings.
+fn doors(folder: &Path, name: &str) -> Vec<PathBuf> {
+    let Ok(entries) = fs::read_dir(folder) else { return Vec::new() };
+    let ours = |path: &PathBuf| {
+        let file = path.file_name().and_then(|n| n.to_str());
+        let number = file.and_then(|n| n.strip_prefix(name)?.strip_prefix('.')?.strip_suffix(ENDING));
+        number.is_some_and(|n| n.bytes().all(|b| b.is_ascii_digit()))
+    };
+    entries.flatten().map(|entry| entry.path()).filter(ours).take(MOST).collect()
+}
+
+async fn call(hub: &Rc<Hub>, path: &Path) -> Result<(), Fault> {
+    let first = async {
+        let socket = UnixStream::connect(path).await.map_err(Fault::Socket)?;
+        let (reader, mut writer) = socket.into_split();
+        let mut lines = Lines::new(reader);
+        say(&mut writer, &Word::Hello { form: FORM, node: hub.config().name.clone() }).await?;
+        Ok((lines.next().await?, lines, writer))
+    };
+    match timeout(MEET, first).await.map_err(|_| Fault::Silent)?? {
+        (Word::Knows(memory), lines, writer) => {
+            hub.inherit(memory);
+            befriend(hub, true, lines, writer, None);
+            Ok(())
+        }
+        _ => Err(Fault::Foreign),
+    }
+}
+
+/// Lets younger siblings in, for good.
+pub async fn welcome(hub: Rc<Hub>, door: Door) {
+    loop {
+        let Ok((socket, _)) = door.listener.accept().await else {
+            sleep(PAUSE).await;
+            continue;
+        };
+        if hub.siblings.known.borrow().len() >= MOST {
+            continue;
+        }
+        if let Err(fault) = answer(&hub, socket).await {
+            eprintln!("yardspur: a caller is no sibling: {fault}");
+        }
+    }
+}
+
+async fn answer(hub: &Rc<Hub>, socket: UnixStream) -> Result<(), Fault> {
+    let (reader, writer) = socket.into_split();
+    let mut lines = Lines::new(reader);
+    match timeout(MEET, lines.next()).await.map_err(|_| Fault::Silent)?? {
+        Word::Hello { form: FORM, node } if node == hub.config().name => {}
+        _ => return Err(Fault::Foreign),
+    }
+    // A sibling from here on: what operators say meanwhile goes to it, behind what is known now.
+    befriend(hub, false, lines, writer, Some(Word::Knows(hub.memory())));
+    Ok(())
+}
+
+/// Holds a sibling for as long as the connection to it is open.
+fn befriend(hub: &Rc<Hub>, elder: bool, mut lines: Lines, mut writer: OwnedWriteHalf, first: Option<Word>) {
+    let (words, mut waiting) = mpsc::channel(WAITING);
+    let siblings = &hub.siblings;
+    let number = siblings.numbers.get();
+    siblings.numbers.set(number + 1);
+    siblings.known.borrow_mut().insert(number, Sibling { elder, words });
+    hub.share();
+    let hub = hub.clone();
+    spawn_local(async move {
+        let listen = async {
+            loop {
+                match lines.next().await? {
+                    Word::ByHand { server, out } => hub.heed(&server, out),
+                    _ => return Err::<(), _>(Fault::Foreign),
+                }
+            }
+        };
+        let speak = async {
+            if let Some(word) = first {
+                say(&mut writer, &word).await?;
+            }
+            while let Some(word) = waiting.recv().await {
+                say(&mut writer, &word).await?;
+            }
+            Err::<(), _>(Fault::Silent)
+        };
+        let end = tokio::select! { end = listen => end, end = speak => end };
+        hub.siblings.known.borrow_mut().remove(&number);
+        hub.share();
+        if let Err(fault @ (Fault::Malformed(_) | Fault::Foreign)) = end {
+            eprintln!("yardspur: a sibling is left: {fault}");
+        }
+    });
+}
+
+async fn say(writer: &mut OwnedWriteHalf, word: &Word) -> Result<(), Fault> {
+    let mut line = serde_json::to_vec(word).map_err(Fault::Malformed)?;
+    line.push(b'\n');
+    writer.write_all(&line).await.map_err(Fault::Socket)
+}
+
+struct Lines(BufReader<OwnedReadHalf>);
+
+impl Lines {
+    fn new(reader: OwnedReadHalf) -> Self {
+        Self(BufReader::new(reader))
+    }
+
+    async fn next(&mut self) -> Result<Word, Fault> {
+        let mut line = Vec::new();
+        (&mut self.0).take(MAX_WORD).read_until(b'\n', &mut line).await.map_err(Fault::Socket)?;
+        match line.last() {
+            Some(b'\n') => serde_json::from_slice(&line).map_err(Fault::Malformed),
+            None => Err(Fault::Socket(io::ErrorKind::UnexpectedEof.into())),
+            Some(_) => Err(Fault::Foreign),
+        }
+    }
+}
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -87,6 +87,8 @@
     lives: Cell<u64>,
     open: Rc<Cell<usize>>,
     budget: usize,
+    /// What this process may have of it.
+    share: Cell<usize>,
     /// An idle connection is kept for so long: at most, and as resets and answers on kept ones have shown. What
     /// stands between may forget a connection far sooner than the worker closes it, and says so only to a
     /// request, which may then have run.
@@ -111,7 +113,17 @@
         // A worker closes at its limit, and a request that crosses that is lost: close well before.
         let keep_most = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
         let (hosts, lives, keep) = (RefCell::default(), Cell::new(0), Cell::new(keep_most));
-        Self { hosts, lives, open: Rc::default(), budget, keep_most, keep, connect, dispatches }
+        Self {
+            hosts,
+            lives,
+            open: Rc::default(),
+            budget,
+            share: Cell::new(budget),
+            keep_most,
+            keep,
+            connect,
+            dispatches,
+        }
     }
 
     /// Takes in the list: the whole one, or what has changed, each with its address if it has a usable one.
@@ -179,12 +191,23 @@
         }
     }
 
+    /// The budget is dealt out among so many processes.
+    pub fn share(&self, of: usize) {
+        self.share.set((self.budget / of).max(1));
+        while self.open.get() > self.share.get() && self.close_longest_idle().is_some() {}
+    }
+
+    fn close_longest_idle(&self) -> Option<()> {
+        let mut hosts = self.hosts.borrow_mut();
+        let idle = hosts.values_mut().map(|h| &mut h.idle).filter(|l| !l.is_empty());
+        idle.min_by_key(|l| l[0].since)?.remove(0);
+        Some(())
+    }
+
     /// A place for one more connection; at the edge the connection that has stood idle longest makes room.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.budget {
-            let mut hosts = self.hosts.borrow_mut();
-            let idle = hosts.values_mut().map(|h| &mut h.idle).filter(|l| !l.is_empty());
-            idle.min_by_key(|l| l[0].since)?.remove(0);
+        if self.open.get() >= self.share.get() {
+            self.close_longest_idle()?;
         }
         self.open.set(self.open.get() + 1);
         Some(Slot(self.open.clone()))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,6 @@
 //! The module's interface: the settings it is given, the events it receives, the actions it returns.
 
+use serde::{Deserialize, Serialize};
 use std::{fmt, sync::Arc};
 
 /// Seconds on the caller's monotonic clock; the origin is the caller's affair.
@@ -324,6 +325,15 @@
         /// It is out.
         out: bool,
     },
+    /// The gateway is being upgraded: so many processes serve it side by side and deal out its share.
+    Sharing {
+        /// This one's place among them, from 0, the eldest first.
+        place: u32,
+        /// How many there are, this one included; 1: it is alone.
+        of: u32,
+    },
+    /// What a process that this one is to follow knows; before the first request.
+    Inherit(Memory),
     /// The client left; nothing more is owed.
     Left {
         /// The request.
@@ -356,6 +366,40 @@
     },
 }
 
+/// What a process hands to the one that follows it. Times are on the clock that both share.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Memory {
+    /// The servers that it knows.
+    pub servers: Vec<Known>,
+    /// Those that operators have left out.
+    pub left_out: Vec<ServerId>,
+    /// Units a second that it sent a server, at most of late.
+    pub carried: f64,
+    /// Seconds that answers take: in the mean, in the middle, and in an idle fleet.
+    pub times: [f64; 3],
+    /// Calls a second that the counter bore.
+    pub call_rate: f64,
+}
+
+/// What is known of a server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Known {
+    /// Its address.
+    pub id: ServerId,
+    /// Since when it has been warming up; 0: long ago.
+    pub cold_since: Time,
+    /// Seconds that its answers take, and when that was last seen.
+    pub latency: f64,
+    /// When it last answered.
+    pub heard: Time,
+    /// It is put out until then, ...
+    pub out_until: Time,
+    /// ... and the next time for so many seconds.
+    pub out_for: f64,
+}
+
 /// How many servers there are, and how many of them are sent nothing at present.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Targets {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -237,6 +237,10 @@
     names: Vec<ServerId>,
     /// Where in the list, from 0 to 1, this gateway's own servers begin.
     phase: f64,
+    /// Its place among the processes that serve this gateway, and how many there are.
+    sharing: (u32, u32),
+    /// When it took over from another process; 0: it did not.
+    followed: Time,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
     servers: BTreeMap<ServerId, Host>,
@@ -309,11 +313,15 @@
     (spans as u64, spans.fract() * length)
 }
 
-/// A gateway's even share of a cap on what is out, one at least; what does not go round falls to the first of
-/// the customer's gateways, one each.
-fn slots(plan: &Plan, customer: &Customer) -> u32 {
-    let (even, over) = (plan.open / customer.spread, plan.open % customer.spread);
-    if plan.open == 0 { u32::MAX } else { (even + u32::from(customer.turn < over)).max(1) }
+/// The even share of a cap at place `turn` of `of`; what does not go round falls to the first of them, one each.
+fn even(cap: u32, turn: u32, of: u32) -> u32 {
+    cap / of + u32::from(turn < cap % of)
+}
+
+/// This process's share of a plan's cap on what is out, one at least.
+fn slots(plan: &Plan, customer: &Customer, (place, of): (u32, u32)) -> u32 {
+    let gateways = even(plan.open, customer.turn, customer.spread);
+    if plan.open == 0 { u32::MAX } else { even(gateways, place, of).max(1) }
 }
 
 impl Gateway {
@@ -327,7 +335,16 @@
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
         let (phase, rng) = (rng.f64(), Some(rng));
-        Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
+        Ok(Self {
+            set: settings,
+            flows,
+            phase,
+            rng,
+            call_rate,
+            further: FURTHER.1,
+            sharing: (0, 1),
+            ..Self::default()
+        })
     }
 
     /// Takes one event at `now` and appends what is to be done, in order.
@@ -345,6 +362,8 @@
                 customer.into_iter().for_each(|c| self.fill_slots(&c));
             }
             Event::ByHand { server, out } => self.by_hand(server, out),
+            Event::Sharing { place, of } => self.sharing = (place, of.max(1)),
+            Event::Inherit(memory) => self.inherit(memory),
             Event::Left { job } => self.over(&job),
             Event::Timer { token } => self.timer(token),
             Event::Probed { .. } => {} // None is asked for: attempts tell enough, and probes cost.
@@ -364,6 +383,11 @@
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
     }
 
+    /// Among how many processes a customer's even share is dealt out.
+    fn parts(&self, spread: u32) -> f64 {
+        f64::from(spread) * f64::from(self.sharing.1)
+    }
+
     fn aim(&self) -> f64 {
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
@@ -415,7 +439,48 @@
 
     /// Whether the list names the server, or operators have left it out.
     pub fn knows(&self, server: &ServerId) -> bool {
-        self.servers.get(server).is_some_and(|h| h.listed) || self.by_hand.contains(server)
+        self.servers.contains_key(server) || self.by_hand.contains(server)
+    }
+
+    /// What one that follows should know.
+    pub fn memory(&self) -> Memory {
+        let known = |(id, host): (&ServerId, &Host)| {
+            let Host { cold_since, latency, heard, out_until, out_for, .. } = *host;
+            Known { id: id.clone(), cold_since, latency, heard, out_until, out_for }
+        };
+        Memory {
+            servers: self.servers.iter().map(known).collect(),
+            left_out: self.by_hand.iter().cloned().collect(),
+            carried: self.carried.level,
+            times: [self.latency, self.typical, self.idle.level],
+            call_rate: self.call_rate,
+        }
+    }
+
+    /// Takes over what another process knew. Its servers are used once the list names them.
+    fn inherit(&mut self, memory: Memory) {
+        let (now, longest) = (self.now, 60.0);
+        for known in memory.servers.into_iter().filter(|k| k.out_for > 0.0) {
+            let phase = self.draw();
+            let host = self.servers.entry(known.id).or_default();
+            if host.cold_since > known.cold_since {
+                continue; // Started anew since.
+            }
+            host.renew(
+                known.cold_since.min(now),
+                Store { level: phase, at: now },
+                known.latency.clamp(0.0, longest),
+            );
+            (host.heard, host.out_for) = (known.heard.min(now), known.out_for.clamp(EJECT.0, EJECT.1));
+            host.out_until = known.out_until.min(now + EJECT.1);
+        }
+        self.by_hand = memory.left_out.into_iter().collect();
+        self.name_usable();
+        let [latency, typical, idle] = memory.times.map(|t| t.clamp(0.0, longest));
+        (self.latency, self.typical, self.idle) = (latency, typical, Store { level: idle, at: now });
+        self.carried = Store { level: memory.carried.max(0.0), at: now };
+        self.call_rate = memory.call_rate.clamp(CALLS.0, self.call_rate);
+        self.followed = now;
     }
 
     /// How many servers are listed, and how many of them are avoided at `now`.
@@ -541,7 +606,8 @@
             return f64::INFINITY;
         }
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0);
-        let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * self.carried.level;
+        let share = (self.set.fall_multiple * COLD_SHARE).min(1.0) / f64::from(self.sharing.1);
+        let rate = warmth * share * self.carried.level;
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
@@ -620,9 +686,14 @@
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
-        let level =
-            if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
-        let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
+        let full = (plan.burst / self.parts(spread)).max(request.units);
+        // One that follows another process has only what was dealt since: the other may have spent the rest.
+        let share = match self.followed {
+            _ if plan.ceiling_rate > 0.0 => Store { level: 0.0, at: self.now },
+            0.0 => Store { level: full, at: self.now },
+            followed => Store { level: 0.0, at: followed },
+        };
+        let unseen = || Customer { share, ..Customer::default() };
         let customer = self.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
         customer.turn =
@@ -680,18 +751,20 @@
     /// and quota, as the count may have granted the whole quota already (rule 5).
     fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
         let most = self.set.max_units.max(1.0);
+        let parts = self.parts(self.customers[key].spread);
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
         if plan.ceiling_rate > 0.0 {
             rate = rate.min(CEILING_SHARE * (plan.ceiling_rate - plan.rate)).max(1e-9);
             burst = burst.min(CEILING_SHARE * (plan.ceiling_burst - plan.burst)).max(0.0);
         }
-        let (spread, deal) = (f64::from(customer.spread), most / rate);
+        let deal = most / rate;
         if plan.ceiling_rate == 0.0 {
-            return customer.share.refill(self.now, rate / spread, (burst / spread).max(units)) >= units;
+            return customer.share.refill(self.now, rate / parts, (burst / parts).max(units)) >= units;
         }
-        let phase = f64::from(customer.turn % customer.spread) + phase(key);
-        let dealt = |at: Time| ((at / deal - phase) / spread).floor() * most;
+        let turn = f64::from(customer.turn % customer.spread + customer.spread * self.sharing.0);
+        let phase = turn + phase(key);
+        let dealt = |at: Time| ((at / deal - phase) / parts).floor() * most;
         let (new, valid) =
             (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
         customer.share = Store { level: (customer.share.level + new).min(valid), at: self.now };
@@ -740,7 +813,11 @@
         }
         let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
         customer.share.level = (customer.share.level - drawn).max(0.0);
-        if customer.open < slots(&plan, customer) { self.send_first(id) } else { self.wait(id, units, &plan) }
+        if customer.open < slots(&plan, customer, self.sharing) {
+            self.send_first(id)
+        } else {
+            self.wait(id, units, &plan)
+        }
     }
 
     /// Under a cap on what is out a burst finds a gateway's few slots taken, and each is free again in an
@@ -750,7 +827,8 @@
         let request = &self.jobs[&id].request;
         let most = SLOT_AIM * self.set.classes[request.class].aim;
         let customer = self.customers.get_mut(&request.customer).expect("spending customers are known");
-        let turn = (customer.waiting.len() + 1) as f64 * self.latency / f64::from(slots(plan, customer));
+        let turn = (customer.waiting.len() + 1) as f64 * self.latency
+            / f64::from(slots(plan, customer, self.sharing));
         if turn > most {
             customer.lease += units; // Not sent, so not spent.
             return self.end(&id, turn);
@@ -762,7 +840,7 @@
     /// Gives the slots that have come free to those that wait.
     fn fill_slots(&mut self, key: &CustomerId) {
         while let Some(customer) = self.customers.get_mut(key) {
-            if customer.open >= slots(&self.set.plans[customer.plan], customer) {
+            if customer.open >= slots(&self.set.plans[customer.plan], customer, self.sharing) {
                 return;
             }
             match customer.waiting.pop_front() {
--- a/src/options.rs
+++ b/src/options.rs
@@ -19,6 +19,8 @@
     pub zones: Vec<String>,
     /// A server closes a connection that has stood idle for this many seconds.
     pub conn_idle: f64,
+    /// The longest time that a client waits for an answer, in seconds.
+    pub deadline: f64,
     /// A connection that is not up after this many seconds has failed.
     pub connect_timeout: f64,
 }
@@ -133,12 +135,15 @@
         s.cold = rules.num("Cold", s.cold)?;
         s.fall_multiple = rules.num("FallMultiple", s.fall_multiple)?;
         s.fall = rules.num("Fall", s.fall)?;
+        let deadlines = keys.list("Classes").iter().map(|c| Keys(c).num("Deadline", 30.0));
+        let deadline = deadlines.collect::<Result<Vec<_>, _>>()?.into_iter().fold(0.0, f64::max);
         let names = |key: &str| keys.list(key).iter().map(|v| Keys(v).text("Name").to_owned()).collect();
         Ok(Self {
             settings: s,
             classes: names("Classes"),
             plans: names("Plans"),
             zones: keys.list("Dcs").iter().map(|z| z.as_str().unwrap_or("").to_owned()).collect(),
+            deadline,
             conn_idle: limits.num("ConnIdle", 30.0)?,
             connect_timeout: limits.num("ConnectTimeout", 0.25)?,
         })
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -5,6 +5,7 @@
 use std::{
     io::{Read, Write},
     net::TcpListener,
+    os::unix::net::{UnixListener, UnixStream},
     path::PathBuf,
     process::{Command, Stdio},
     sync::Arc,
@@ -216,3 +217,105 @@
     assert_eq!(node.call("PUT /workers/w1/maint").status(), 200);
     assert_eq!((figure("svc_targets"), figure("svc_targets_disabled")), (2, 1));
 }
+
+/// Two processes of one node, the second started while the first is at work.
+fn upgrade<'a>(setup: &Setup, socket: &'a TcpListener, folder: &'a Folder) -> (Node, Node) {
+    let start = || setup.start_as(Start { socket: Some(socket), folder: Some(&folder.0) });
+    let old = start();
+    while old.call("GET /healthcheck").status() != 200 {}
+    let new = start();
+    old.says("one of 2");
+    while new.call("GET /healthcheck").status() != 200 {}
+    (old, new)
+}
+
+#[test]
+fn in_an_upgrade_both_heed_a_call_to_either_and_a_file_torn_meanwhile_does_no_harm() {
+    let (one, two) = (Worker::start(Does::Serves("one")), Worker::start(Does::Serves("two")));
+    let (setup, _discovery) = operated(&[&one, &two]);
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("both"));
+    // A socket that nobody serves any more, and what is none.
+    drop(UnixListener::bind(folder.0.join("yardspur-n0.1.sock")).expect("a folder"));
+    std::fs::write(folder.0.join("yardspur-n0.2.sock"), "").expect("a folder");
+    let (old, new) = upgrade(&setup, &socket, &folder);
+    assert_eq!(old.call("PUT /workers/w0/maint").status(), 200);
+    new.says("by hand: worker w0 out");
+    let ask =
+        |tag: &str| (0..20).map(|i| old.ask(&Ask::submit(&format!("{tag}{i}"))).body).collect::<Vec<_>>();
+    assert!(ask("a").iter().all(|b| b == b"two"), "whichever takes it");
+    assert_eq!(new.call("PUT /workers/w0/ready").status(), 200);
+    old.says("by hand: worker w0 back");
+    assert_eq!(new.call("PUT /workers/w1/maint").status(), 200);
+    std::fs::write(folder.0.join("yardspur-n0.out.json"), "{").expect("a folder");
+    let third = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0) });
+    old.says("one of 3");
+    assert_eq!(third.call("GET /stats").status(), 200);
+    drop((old, new));
+    third.says("one of 1");
+    for i in 0..20 {
+        let answer = third.ask(&Ask::submit(&format!("c{i}")));
+        assert!(answer.status() == 429 || answer.body == b"one", "w1 is out, w0 may be cold");
+    }
+}
+
+#[test]
+fn after_sigterm_the_new_process_takes_clients_and_the_old_serves_those_it_has() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = operated(&[&worker]);
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("drained"));
+    let (mut old, new) = upgrade(&setup, &socket, &folder);
+    // Either may have taken one: as many as make it sure that the old one has some.
+    let mut kept: Vec<Client> = (0..40).map(|_| old.client()).collect();
+    kept.iter_mut()
+        .enumerate()
+        .for_each(|(i, c)| assert_eq!(c.ask(&Ask::new(&format!("a{i}"))).status(), 200));
+    old.terminate();
+    old.says("stops with 0 in hand");
+    assert_eq!(new.ask(&Ask::new("b")).status(), 200);
+    let closed = |(i, c): (usize, &mut Client)| {
+        let answer = c.ask(&Ask::new(&format!("c{i}")));
+        assert_eq!(answer.status(), 200);
+        answer.header("connection") == "close"
+    };
+    assert!(kept.iter_mut().enumerate().map(closed).filter(|c| *c).count() > 0, "the old one had some");
+    assert!(old.exit().success(), "after its last answer");
+    new.says("one of 1");
+}
+
+#[test]
+fn when_the_new_process_dies_the_old_one_goes_on_with_its_whole_share() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = operated(&[&worker]);
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("killed"));
+    let (old, mut new) = upgrade(&setup, &socket, &folder);
+    new.child.kill().expect("a child");
+    new.exit();
+    old.says("one of 1");
+    (0..20).for_each(|i| assert_eq!(old.ask(&Ask::new(&format!("a{i}"))).status(), 200));
+    // And the next attempt finds it.
+    let _next = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0) });
+    old.says("one of 2");
+}
+
+#[test]
+fn a_caller_that_is_no_sibling_changes_nothing() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = operated(&[&worker]);
+    let folder = Folder::new("foreign");
+    let node = setup.start_as(Start { folder: Some(&folder.0), ..Start::default() });
+    while node.call("GET /healthcheck").status() != 200 {}
+    let door = folder.0.join(format!("yardspur-n0.{}.sock", node.child.id()));
+    for word in [
+        "nonsense\n",
+        "{\"Hello\":{\"form\":2,\"node\":\"n0\"}}\n",
+        "{\"Hello\":{\"form\":1,\"node\":\"n1\"}}\n",
+        "{\"ByHand\":{\"server\":\"w0\",\"out\":true}}\n",
+    ] {
+        let mut caller = UnixStream::connect(&door).expect("it listens");
+        caller.write_all(word.as_bytes()).expect("a socket");
+        node.says("a caller is no sibling");
+        // Reset or ended: it may not have been read whole.
+        let _ = caller.read(&mut [0]);
+    }
+    assert_eq!(node.ask(&Ask::new("a")).status(), 200);
+}
