Stream bodies and answers over 64 KiB both ways, and give slow clients their time

What is larger than 64 KiB passes through in pieces of 16 KiB under one bound on memory (a quarter), an answer begun is not sent again, and a break resets the client's connection. Answers ended by a close are read where their head announces it. A head may take 2.5 s, a body comes at 48 kB a second or more, and the edge of the descriptor budget goes by who is silent.

Cause found: the system takes bytes for a slow client again only when a third of its send buffer is free, megabytes at 64 kB a second, and we took 2 s without such progress for a client that does not read. So the buffer has a bound now, and such a client 10 s; to be measured next. Ruled out: stalls of workers (5 s), memory (6 of 48 MB).

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -4,13 +4,15 @@
 use crate::{
     figures,
     gateway::{Answer, Demand, Hub},
-    http::{self, Body, Framing, Head, MAX_BODY, MAX_HEAD},
+    http::{self, Body, Framing, Head, MAX_HEAD, MAX_WHOLE},
     link,
+    stream::{self, Content, Piece, Pieces, STREAM},
     workers::Forward,
 };
 use bytes::{Bytes, BytesMut};
 use fnv::FnvHashMap;
 use hyper::{HeaderMap, Method, StatusCode, header, header::HeaderValue};
+use socket2::SockRef;
 use std::{
     cell::{Cell, RefCell},
     io::{self, Write},
@@ -20,16 +22,24 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
 use weirusher::JobId;
 
-/// Longest time for a request to come whole, from the connection or its first byte on: a client that brings
-/// none is owed an error or a close within 3 s.
-const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// Longest time for a request to come whole, from the connection or its first byte on, beside what its body takes
+/// at the slowest; and longest time without a byte of it. A client may take 2 s for a head, and one that brings
+/// nothing is owed an error or a close within 3 s.
+const REQUEST_TIME: Duration = Duration::from_millis(2500);
+/// Bytes a second at which a body must come at least: slow clients send 64 kB.
+const SLOWEST: f64 = 48_000.0;
 /// Longest time that a client may take to read an answer.
 const UNREAD: Duration = Duration::from_secs(2);
+/// Longest time for a client to take something more of an answer that comes in pieces. The system takes bytes from
+/// us again only when a good part of what it holds has gone, and a slow client reads 64 kB a second ...
+const UNREAD_PIECE: Duration = Duration::from_secs(10);
+/// ... so it may hold so many bytes of such an answer, which are memory, too.
+const SEND_BUFFER: usize = 128 * 1024;
 /// A connection that is closed with unread data behind it has so long, and so many bytes, to end by itself: a
 /// close at once would reset it and might take the answer along.
 const LINGER: (Duration, usize) = (Duration::from_millis(500), 256 * 1024);
@@ -55,15 +65,21 @@
 const CUSTOMERS: u64 = 1 << 33;
 /// Seconds to stay away, said where no room was left.
 const NO_ROOM_ADVICE: f64 = 1.0;
+/// Says that a body may come.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     /// A request is awaited or half there.
     Reading,
+    /// A body that passes through is half there.
+    Body,
     /// A request is in hand.
     Busy,
     Writing,
+    /// An answer is passed on in pieces.
+    Passing,
     Idle,
     /// It is closed from this side.
     Leaving,
@@ -73,6 +89,10 @@
 struct Peer {
     stage: Cell<Stage>,
     since: Cell<Instant>,
+    /// When something of the present request last came.
+    heard: Cell<Instant>,
+    /// By when it must have come whole.
+    until: Cell<Instant>,
     /// It is to close, if it is still where it was at that time.
     told: Cell<Option<Instant>>,
     close: Notify,
@@ -81,8 +101,30 @@
 
 impl Peer {
     fn now(&self, stage: Stage) {
+        let now = Instant::now();
+        if stage == Stage::Reading {
+            self.heard.set(now);
+            self.until.set(now + REQUEST_TIME);
+        }
         self.stage.set(stage);
-        self.since.set(Instant::now());
+        self.since.set(now);
+    }
+
+    /// So many bytes of a request have come.
+    fn came(&self, bytes: usize) {
+        self.heard.set(Instant::now());
+        self.until.set(self.until.get() + Duration::from_secs_f64(bytes as f64 / SLOWEST));
+    }
+
+    /// Nothing was read of it since then, so its client had no part in that.
+    fn held_up(&self, since: Instant) {
+        self.heard.set(Instant::now());
+        self.until.set(self.until.get() + since.elapsed());
+    }
+
+    /// The request has had its time, or brings nothing more.
+    fn overdue(&self) -> bool {
+        self.heard.get().elapsed() > REQUEST_TIME || self.until.get() < Instant::now()
     }
 
     fn tell_to_close(&self) {
@@ -108,7 +150,9 @@
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
     budget: usize,
-    /// Bytes left for bodies.
+    /// Bytes that bodies and streams may hold.
+    bodies: usize,
+    /// Bytes left of them.
     room: Cell<usize>,
     /// A connection has ended.
     freed: Notify,
@@ -127,6 +171,7 @@
             peers: RefCell::default(),
             numbers: Cell::new(0),
             budget,
+            bodies,
             room: Cell::new(bodies),
             freed: Notify::new(),
             stopping: Cell::new(false),
@@ -140,9 +185,10 @@
         self.stopping.set(true);
     }
 
-    /// Closes each connection now if it is idle, else after the answer in hand.
+    /// Closes each connection now if it is idle, else after the answer in hand, or that to a body under way.
     pub fn close(&self) {
-        self.peers.borrow().values().for_each(|p| p.tell_to_close());
+        let peers = self.peers.borrow();
+        peers.values().filter(|p| p.stage.get() != Stage::Body).for_each(|p| p.tell_to_close());
     }
 
     /// Clients are being taken, and will be until further notice.
@@ -196,15 +242,22 @@
 
     fn make_room(&self) {
         let peers = self.peers.borrow();
-        let longest = |stages: &[Stage], spared: Duration| {
-            let old = |p: &&Rc<Peer>| stages.contains(&p.stage.get()) && p.since.get().elapsed() > spared;
-            peers.values().filter(old).min_by_key(|p| p.since.get())
+        // A slow client that still brings something is not among the silent ones.
+        let longest = |stage: Stage, spared: Duration| {
+            let since = |p: &Rc<Peer>| if stage == Stage::Reading { p.heard.get() } else { p.since.get() };
+            let old = |p: &&Rc<Peer>| p.stage.get() == stage && since(p).elapsed() > spared;
+            peers.values().filter(old).min_by_key(|p| since(p))
         };
-        if let Some(peer) = longest(&[Stage::Leaving], SILENCE_SPARED) {
+        if let Some(peer) = longest(Stage::Leaving, SILENCE_SPARED) {
             peer.abort();
-        } else if let Some(peer) = longest(&[Stage::Reading], SILENCE_SPARED) {
+        } else if let Some(peer) = longest(Stage::Reading, SILENCE_SPARED) {
             peer.tell_to_close();
-        } else if let Some(peer) = longest(&[Stage::Idle], IDLE_SPARED) {
+        } else if longest(Stage::Leaving, Duration::ZERO)
+            .or(longest(Stage::Reading, Duration::ZERO))
+            .is_some()
+        {
+            // One of these is due in a moment, and is of less use than a client that has asked before.
+        } else if let Some(peer) = longest(Stage::Idle, IDLE_SPARED) {
             peer.tell_to_close();
         }
     }
@@ -216,9 +269,10 @@
             for peer in self.peers.borrow().values() {
                 let age = peer.since.get().elapsed();
                 match peer.stage.get() {
-                    Stage::Reading if age > REQUEST_TIME => peer.tell_to_close(),
+                    Stage::Reading | Stage::Body if peer.overdue() => peer.tell_to_close(),
                     Stage::Idle if age > IDLE => peer.tell_to_close(),
                     Stage::Writing if age > UNREAD => peer.abort(),
+                    Stage::Passing if age > UNREAD_PIECE => peer.abort(),
                     Stage::Leaving if age > LINGER.0 => peer.abort(),
                     _ => {}
                 }
@@ -232,6 +286,8 @@
         let peer = Rc::new(Peer {
             stage: Cell::new(Stage::Reading),
             since: Cell::new(Instant::now()),
+            heard: Cell::new(Instant::now()),
+            until: Cell::new(Instant::now() + REQUEST_TIME),
             told: Cell::new(None),
             close: Notify::new(),
             task: RefCell::default(),
@@ -248,7 +304,7 @@
                 if let End::Say(status) = clients.converse(&mut socket, &peer).await {
                     peer.now(Stage::Writing);
                     // A client that can't be told sees the close.
-                    let _ = socket.write_all(&render(&Reply::plain(status), false)).await;
+                    let _ = socket.write_all(&render(&Reply::plain(status), false, 1)).await;
                     linger(&mut socket, &peer).await;
                 }
             }
@@ -260,43 +316,54 @@
     async fn converse(&self, socket: &mut TcpStream, peer: &Peer) -> End {
         let mut buffer = BytesMut::new();
         loop {
-            let (head, body, _room) = match self.receive(socket, &mut buffer, peer).await {
-                Ok(request) => request,
+            let head = match self.head(socket, &mut buffer, peer).await {
+                Ok(head) => head,
                 Err(end) => return end,
             };
-            peer.now(Stage::Busy);
-            let keep = head.keep;
-            let mut taken = None;
-            let reply = if head.uri.path() == "/up" {
-                Reply::plain(if self.stopping.get() {
-                    StatusCode::SERVICE_UNAVAILABLE
-                } else {
-                    StatusCode::OK
-                })
-            } else {
-                match self.demand(head, body) {
-                    Ok(demand) => {
-                        taken = Some(self.hub.figures.take(demand.class));
-                        match self.answer(demand, socket, &mut buffer).await {
-                            Some(reply) => reply,
-                            None => return End::Close,
-                        }
+            let up = head.uri.path() == "/up";
+            let demand = if up { Err(self.up()) } else { self.demand(&head) };
+            let (body, room) = match self.body(socket, &mut buffer, peer, &head).await {
+                Ok(body) => body,
+                Err(end) => {
+                    if let (Ok(demand), End::Say(StatusCode::SERVICE_UNAVAILABLE)) = (&demand, &end) {
+                        self.hub.figures.take(demand.class).end(figures::End::Refused);
                     }
-                    Err(status) => Reply::plain(status),
+                    return end;
                 }
             };
-            let keep = keep && !self.stopping.get();
-            peer.now(Stage::Writing);
-            if socket.write_all(&render(&reply, keep)).await.is_err() {
+            let mut exchange =
+                Exchange { clients: self, socket, buffer: &mut buffer, peer, room, rest: None, cut: false };
+            let (reply, taken) = match demand {
+                Err(status) => {
+                    exchange.rest = body.rest();
+                    (Reply::plain(status), None)
+                }
+                Ok(demand) => {
+                    let taken = self.hub.figures.take(demand.class);
+                    match exchange.serve(demand, body, head.expects).await {
+                        Ok(reply) => (reply, Some(taken)),
+                        Err(end) => return end,
+                    }
+                }
+            };
+            // A client of HTTP/1.0 is told the end of what has no length by the close.
+            let framed = head.minor > 0 || !matches!(reply.body, Outcome::Pieces(None, _));
+            let keep = head.keep && framed && !self.stopping.get() && exchange.rest.is_none();
+            let end = match exchange.reply(reply, keep, head.minor).await {
+                Some(end) => end,
+                None => return End::Close,
+            };
+            taken.into_iter().for_each(|taken| taken.end(end));
+            if exchange.cut {
                 return End::Close;
             }
-            if let Some(taken) = taken {
-                taken.end(reply.end());
-            }
             if !keep {
+                exchange.read_over().await;
+                drop(exchange);
                 linger(socket, peer).await;
                 return End::Close;
             }
+            drop(exchange);
             if buffer.is_empty() {
                 // Idle connections hold no memory.
                 buffer = BytesMut::new();
@@ -305,40 +372,62 @@
         }
     }
 
-    /// Reads a request whole.
-    async fn receive(
-        &self,
-        socket: &mut TcpStream,
-        buffer: &mut BytesMut,
-        peer: &Peer,
-    ) -> Result<(Head, Bytes, Room<'_>), End> {
+    fn up(&self) -> StatusCode {
+        if self.stopping.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
+    }
+
+    async fn head(&self, socket: &mut TcpStream, buffer: &mut BytesMut, peer: &Peer) -> Result<Head, End> {
         let mut seen = 0;
-        let head = loop {
+        loop {
             if !buffer.is_empty() {
                 if peer.stage.get() == Stage::Idle {
                     peer.now(Stage::Reading);
                 }
                 if let Some(head) = http::head(buffer, &mut seen).map_err(End::Say)? {
-                    break head;
+                    return Ok(head);
                 }
             }
             self.read(socket, buffer, peer, PIECE).await?;
-        };
-        let most = if let Framing::Length(length) = head.framing { length } else { MAX_BODY };
-        let room = Room::take(&self.room, most).ok_or(End::Say(StatusCode::SERVICE_UNAVAILABLE))?;
-        let mut body = Body::new(head.framing);
-        if head.expects && most > 0 && buffer.is_empty() {
-            let _ = socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+    }
+
+    /// Reads a body whole, or as much as shows that it is too large for that.
+    async fn body(
+        &self,
+        socket: &mut TcpStream,
+        buffer: &mut BytesMut,
+        peer: &Peer,
+        head: &Head,
+    ) -> Result<(Gathered, Room<'_>), End> {
+        let length = if let Framing::Length(length) = head.framing { Some(length) } else { None };
+        let large = length.is_some_and(|l| l > MAX_WHOLE);
+        let room = if large { STREAM } else { length.unwrap_or(MAX_WHOLE) };
+        let room = self.take_room(room).ok_or(End::Say(StatusCode::SERVICE_UNAVAILABLE))?;
+        let (mut body, mut whole) = (Body::new(head.framing), BytesMut::new());
+        if large {
+            return Ok((Gathered::Large { first: whole, rest: body, length }, room));
+        }
+        if head.expects && length != Some(0) && buffer.is_empty() {
+            let _ = socket.write_all(CONTINUE).await;
         }
         loop {
-            if let Some(bytes) = body.take(buffer).map_err(End::Say)? {
-                return Ok((head, bytes, room));
+            if body.take(buffer, &mut whole, MAX_WHOLE + 1).map_err(End::Say)? {
+                return Ok((Gathered::Whole(whole.freeze()), room));
             }
-            let left = most.saturating_sub(buffer.len()).clamp(PIECE, MAX_HEAD);
-            self.read(socket, buffer, peer, left).await?;
+            if whole.len() > MAX_WHOLE {
+                return Ok((Gathered::Large { first: whole, rest: body, length }, room));
+            }
+            let piece = if length.is_some_and(|l| l <= PIECE) { PIECE } else { stream::PIECE };
+            self.read(socket, buffer, peer, piece).await?;
         }
     }
 
+    /// Takes from the memory that bodies and streams may hold.
+    fn take_room(&self, bytes: usize) -> Option<Room<'_>> {
+        let held = self.bodies - self.room.get();
+        if held + bytes > self.share(self.bodies) { None } else { Room::take(&self.room, bytes) }
+    }
+
     /// Reads what there is, unless the connection is to close.
     async fn read(
         &self,
@@ -365,49 +454,18 @@
             buffer.reserve(most);
             match socket.try_read_buf(buffer) {
                 Ok(0) => return Err(End::Close),
-                Ok(_) => return Ok(()),
+                Ok(n) => {
+                    peer.came(n);
+                    return Ok(());
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return Err(End::Close),
             }
         }
     }
 
-    /// Waits for the final answer; `None`: the client went before.
-    async fn answer(&self, demand: Demand, socket: &TcpStream, buffer: &mut BytesMut) -> Option<Reply> {
-        let Some((job, mut receiver)) = self.hub.take(demand) else {
-            return Some(Reply::plain(StatusCode::CONFLICT));
-        };
-        let mut waiting = Waiting { hub: &self.hub, job: &job, answered: false };
-        let answer = loop {
-            // What comes behind a request waits in the buffer, and past its bound in the socket.
-            let listens = buffer.len() < MAX_HEAD;
-            tokio::select! {
-                biased;
-                answer = &mut receiver => break answer,
-                ready = socket.readable(), if listens => {
-                    ready.ok()?;
-                    buffer.reserve(PIECE);
-                    match socket.try_read_buf(buffer) {
-                        Ok(0) => return None,
-                        Ok(_) => {}
-                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                        Err(_) => return None,
-                    }
-                }
-            }
-        };
-        waiting.answered = true;
-        Some(match answer {
-            Ok(Answer::Served(body)) => Reply { status: StatusCode::OK, retry_after: 0.0, body },
-            Ok(Answer::Refused(retry_after)) => {
-                Reply { retry_after, ..Reply::plain(StatusCode::TOO_MANY_REQUESTS) }
-            }
-            Ok(Answer::Failed) | Err(_) => Reply::plain(StatusCode::BAD_GATEWAY),
-        })
-    }
-
     /// Checks a request; the module never sees a bad one.
-    fn demand(&self, head: Head, body: Bytes) -> Result<Demand, StatusCode> {
+    fn demand(&self, head: &Head) -> Result<Demand, StatusCode> {
         let options = &self.hub.config().options;
         let bad = StatusCode::BAD_REQUEST;
         let lane = text(&head.headers, "x-lane").ok_or(bad)?;
@@ -456,13 +514,259 @@
                 txn: HeaderValue::from_str(txn).map_err(|_| bad)?,
                 idempotency_key: head.headers.get("idempotency-key").cloned(),
                 content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
-                method: head.method,
-                body,
+                method: head.method.clone(),
+                body: Content::Whole(Bytes::new()),
             },
         })
     }
 }
 
+/// A body as far as it was read.
+enum Gathered {
+    Whole(Bytes),
+    /// It passes through in pieces; `length` is the whole body's, where it is known.
+    Large {
+        first: BytesMut,
+        rest: Body,
+        length: Option<usize>,
+    },
+}
+
+impl Gathered {
+    /// What is still to come of it.
+    fn rest(self) -> Option<Body> {
+        if let Self::Large { rest, .. } = self { Some(rest) } else { None }
+    }
+}
+
+/// One request and its answer on a connection.
+struct Exchange<'a> {
+    clients: &'a Clients,
+    socket: &'a mut TcpStream,
+    buffer: &'a mut BytesMut,
+    peer: &'a Peer,
+    room: Room<'a>,
+    /// What has not come yet of a body that nobody wants any more.
+    rest: Option<Body>,
+    /// The answer was cut short: nothing more may be said on the connection.
+    cut: bool,
+}
+
+impl Exchange<'_> {
+    /// Hands the request over and waits for the final answer, passing on a large body meanwhile.
+    async fn serve(&mut self, mut demand: Demand, body: Gathered, expects: bool) -> Result<Reply, End> {
+        let hub = &self.clients.hub;
+        let mut upload = None;
+        demand.forward.body = match body {
+            Gathered::Whole(bytes) => Content::Whole(bytes),
+            Gathered::Large { first, rest, length } => {
+                let (pieces, content) = Content::stream(length);
+                upload = Some(Upload { pieces, piece: first, rest });
+                content
+            }
+        };
+        let Some((job, mut receiver)) = hub.take(demand) else {
+            self.rest = upload.map(|u| u.rest);
+            return Ok(Reply::plain(StatusCode::CONFLICT));
+        };
+        let mut waiting = Waiting { hub, job: &job, answered: false };
+        let mut early = None;
+        if let Some(upload) = upload {
+            early = self.pass_on(upload, expects, &mut receiver).await?;
+            if early.is_none() {
+                hub.came_whole(&job);
+            }
+        }
+        self.peer.now(Stage::Busy);
+        let answer = match early {
+            Some(answer) => answer,
+            None => self.wait(&mut receiver).await?,
+        };
+        waiting.answered = true;
+        Ok(match answer {
+            Ok(Answer::Served(body)) => Reply::whole(StatusCode::OK, body),
+            Ok(Answer::Streamed(length, pieces)) => {
+                Reply { body: Outcome::Pieces(length, pieces), ..Reply::plain(StatusCode::OK) }
+            }
+            Ok(Answer::Refused(retry_after)) => {
+                Reply { retry_after, ..Reply::plain(StatusCode::TOO_MANY_REQUESTS) }
+            }
+            Ok(Answer::Failed) | Err(_) => Reply::plain(StatusCode::BAD_GATEWAY),
+        })
+    }
+
+    /// Passes a body on as it comes; an answer that is there before its end ends that.
+    async fn pass_on(
+        &mut self,
+        mut upload: Upload,
+        expects: bool,
+        receiver: &mut oneshot::Receiver<Answer>,
+    ) -> Result<Option<Final>, End> {
+        if expects && self.buffer.is_empty() && upload.piece.is_empty() {
+            if let Ok(answer) = receiver.try_recv() {
+                // Refused at once: the client need not send it.
+                return Ok(Some(Ok(answer)));
+            }
+            let _ = self.socket.write_all(CONTINUE).await;
+        }
+        loop {
+            let whole = upload.rest.take(self.buffer, &mut upload.piece, stream::PIECE).map_err(End::Say)?;
+            let full = upload.piece.len() >= stream::PIECE;
+            let word =
+                if upload.piece.is_empty() { None } else { Some(Piece::Data(upload.piece.split().freeze())) };
+            for word in word.into_iter().chain(whole.then_some(Piece::End)) {
+                self.peer.now(Stage::Busy);
+                let held = Instant::now();
+                let sent = tokio::select! {
+                    biased;
+                    answer = &mut *receiver => {
+                        self.rest = (!whole).then_some(upload.rest);
+                        return Ok(Some(answer));
+                    }
+                    sent = upload.pieces.send(word) => sent,
+                };
+                self.peer.held_up(held);
+                if sent.is_err() && !whole {
+                    // The attempt is over, so the answer is on its way; nobody wants the rest.
+                    self.rest = Some(upload.rest);
+                    return receiver.await.map(|answer| Some(Ok(answer))).or(Ok(Some(Ok(Answer::Failed))));
+                }
+            }
+            if whole {
+                return Ok(None);
+            }
+            if full && !self.buffer.is_empty() {
+                continue;
+            }
+            self.peer.stage.set(Stage::Body);
+            tokio::select! {
+                biased;
+                answer = &mut *receiver => {
+                    self.rest = Some(upload.rest);
+                    return Ok(Some(answer));
+                }
+                read = self.clients.read(self.socket, self.buffer, self.peer, stream::PIECE) => read?,
+            }
+        }
+    }
+
+    /// Waits for the final answer; an end where the client went before.
+    async fn wait(&mut self, receiver: &mut oneshot::Receiver<Answer>) -> Result<Final, End> {
+        loop {
+            // What comes behind a request waits in the buffer, and past its bound in the socket.
+            let listens = self.buffer.len() < MAX_HEAD;
+            tokio::select! {
+                biased;
+                answer = &mut *receiver => return Ok(answer),
+                ready = self.socket.readable(), if listens => {
+                    ready.map_err(|_| End::Close)?;
+                    self.buffer.reserve(PIECE);
+                    match self.socket.try_read_buf(self.buffer) {
+                        Ok(0) => return Err(End::Close),
+                        Ok(_) => {}
+                        Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                        Err(_) => return Err(End::Close),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes the answer; how the request ended for the client, `None` where that has gone.
+    async fn reply(&mut self, reply: Reply, keep: bool, minor: u8) -> Option<figures::End> {
+        let end = reply.end();
+        self.peer.now(Stage::Writing);
+        let head = render(&reply, keep, minor);
+        match reply.body {
+            Outcome::Whole(_) => self.socket.write_all(&head).await.ok().map(|()| end),
+            Outcome::Pieces(length, pieces) => {
+                if self.pass_back(head, length.is_none() && minor > 0, pieces).await.ok()? {
+                    return Some(end);
+                }
+                // Reset, so that also a client which tells the end by the close sees that this is none.
+                let _ = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO));
+                self.cut = true;
+                Some(figures::End::Failed)
+            }
+        }
+    }
+
+    /// Passes an answer on as it comes; `false`: it was cut.
+    async fn pass_back(&mut self, head: Vec<u8>, chunked: bool, mut pieces: Pieces) -> io::Result<bool> {
+        // The bound on memory holds for answers, too: what finds no room waits at its worker.
+        let _room = loop {
+            match self.clients.take_room(STREAM.saturating_sub(self.room.1)) {
+                Some(room) => break room,
+                None => tokio::time::sleep(PAUSE).await,
+            }
+        };
+        // Where it can't be set the default holds, which is larger.
+        let _ = SockRef::from(&*self.socket).set_send_buffer_size(SEND_BUFFER);
+        let mut text = head;
+        loop {
+            self.peer.now(Stage::Busy);
+            let piece = pieces.recv().await;
+            self.peer.now(Stage::Passing);
+            match piece {
+                None => return Ok(false),
+                Some(Piece::End) => {
+                    if chunked {
+                        text.extend_from_slice(b"0\r\n\r\n");
+                    }
+                    self.write(&text).await?;
+                    return Ok(true);
+                }
+                Some(Piece::Data(bytes)) if bytes.is_empty() => {}
+                Some(Piece::Data(bytes)) => {
+                    if chunked {
+                        // Writing to memory does not fail.
+                        let _ = write!(text, "{:x}\r\n", bytes.len());
+                    }
+                    text.extend_from_slice(&bytes);
+                    if chunked {
+                        text.extend_from_slice(b"\r\n");
+                    }
+                    self.write(&text).await?;
+                    text.clear();
+                }
+            }
+        }
+    }
+
+    /// Writes all; a slow client has time for as long as it takes something.
+    async fn write(&mut self, mut text: &[u8]) -> io::Result<()> {
+        while !text.is_empty() {
+            let n = self.socket.write(text).await?;
+            text = &text[n..];
+            self.peer.now(Stage::Passing);
+        }
+        Ok(())
+    }
+
+    /// Reads what is still to come of a body, so that its client gets to read the answer.
+    async fn read_over(&mut self) {
+        let Some(mut rest) = self.rest.take() else { return };
+        self.peer.now(Stage::Body);
+        let mut waste = BytesMut::new();
+        while let Ok(false) = rest.take(self.buffer, &mut waste, usize::MAX) {
+            waste.clear();
+            if self.clients.read(self.socket, self.buffer, self.peer, stream::PIECE).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// A body on its way through: what has been read of it and not passed on, and what is to come.
+struct Upload {
+    pieces: mpsc::Sender<Piece>,
+    piece: BytesMut,
+    rest: Body,
+}
+
+/// The final answer, or that the hub has dropped it.
+type Final = Result<Answer, oneshot::error::RecvError>;
+
 /// Ends the sending and reads on for a moment, so that the last answer arrives.
 async fn linger(socket: &mut TcpStream, peer: &Peer) {
     peer.now(Stage::Leaving);
@@ -478,15 +782,22 @@
     }
 }
 
+/// An answer's body.
+enum Outcome {
+    Whole(Bytes),
+    /// Of this length, if it is known.
+    Pieces(Option<u64>, Pieces),
+}
+
 struct Reply {
     status: StatusCode,
     /// Seconds to stay away; 0: no advice.
     retry_after: f64,
-    body: Bytes,
+    body: Outcome,
 }
 
 impl Reply {
-    /// How the request ended for the client.
+    /// How the request ended for the client, if it gets all of this.
     fn end(&self) -> figures::End {
         match self.status {
             StatusCode::OK => figures::End::Served,
@@ -495,23 +806,36 @@
         }
     }
 
-    fn plain(status: StatusCode) -> Self {
+    fn whole(status: StatusCode, body: Bytes) -> Self {
         let retry_after = if status == StatusCode::SERVICE_UNAVAILABLE { NO_ROOM_ADVICE } else { 0.0 };
-        Self { status, retry_after, body: Bytes::new() }
+        Self { status, retry_after, body: Outcome::Whole(body) }
+    }
+
+    fn plain(status: StatusCode) -> Self {
+        Self::whole(status, Bytes::new())
     }
 }
 
-/// The answer as it goes out, in one piece.
-fn render(reply: &Reply, keep: bool) -> Vec<u8> {
+/// The answer as it goes out, in one piece; its head only, where the body comes in pieces.
+fn render(reply: &Reply, keep: bool, minor: u8) -> Vec<u8> {
     let (code, reason) = (reply.status.as_str(), reply.status.canonical_reason().unwrap_or_default());
-    let mut text = Vec::with_capacity(128 + reply.body.len());
+    let (length, body) = match &reply.body {
+        Outcome::Whole(body) => (Some(body.len() as u64), &body[..]),
+        Outcome::Pieces(length, _) => (*length, &[][..]),
+    };
+    let mut text = Vec::with_capacity(128 + body.len());
     // Writing to memory does not fail.
-    let _ = write!(text, "HTTP/1.1 {code} {reason}\r\nContent-Length: {}\r\n", reply.body.len());
+    let _ = write!(text, "HTTP/1.1 {code} {reason}\r\n");
+    if let Some(length) = length {
+        let _ = write!(text, "Content-Length: {length}\r\n");
+    } else if minor > 0 {
+        text.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+    }
     if reply.retry_after > 0.0 {
         let _ = write!(text, "Retry-After: {:.3}\r\n", reply.retry_after);
     }
     text.extend_from_slice(if keep { b"\r\n" } else { b"Connection: close\r\n\r\n" });
-    text.extend_from_slice(&reply.body);
+    text.extend_from_slice(body);
     text
 }
 
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -4,9 +4,8 @@
     config::{Config, Entry, List},
     gateway::Hub,
     link::Link,
+    stream::Outgoing,
 };
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, StatusCode, Uri, header};
 use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::sync::watch;
@@ -107,10 +106,11 @@
         Some(v) => (format!("/discovery/hosts?from={v}&hold_ms={}", HOLD.as_millis()), HOLD),
         None => ("/discovery/hosts".to_owned(), Duration::ZERO),
     };
-    let mut request = Request::new(Full::<Bytes>::default());
+    let mut request = Request::new(Outgoing::Whole(None));
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-    let answer = tokio::time::timeout(hold + PATIENCE, link.exchange(request, 0, most)).await;
+    let answer =
+        tokio::time::timeout(hold + PATIENCE, link.exchange(request, None, most, &|_, _| None)).await;
     let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?;
     if parts.status != StatusCode::OK {
         return Err(Fault::Status(parts.status));
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -8,6 +8,7 @@
     figures::Figures,
     keep::{Keep, KeepError},
     siblings::Siblings,
+    stream::{self, Content, Piece, Pieces},
     workers::{Ending, Forward, Trace, Workers, may_have_run},
 };
 use bytes::Bytes;
@@ -22,7 +23,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
 use weirusher::{
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub enum Answer {
     Served(Bytes),
+    /// Served, of this length if it is known, in pieces.
+    Streamed(Option<u64>, Pieces),
     /// With the advice to stay away for so many seconds; 0: none.
     Refused(f64),
     Failed,
@@ -80,16 +83,24 @@
 struct Attempt {
     server: ServerId,
     sent: Time,
+    /// Seconds to wait for its answer, once its request is written.
+    wait: f64,
+    /// When its answer began to pass on.
+    begun: Option<Time>,
     trace: Trace,
     task: AbortHandle,
-    timer: Key,
+    /// None before the request has come whole, and after its answer has begun.
+    timer: Option<Key>,
 }
 
 struct Open {
     answer: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
-    expires: Time,
-    deadline: Key,
+    /// Seconds that the client waits, from its last byte on.
+    remaining: f64,
+    /// `None`: its body is still on its way.
+    expires: Option<Time>,
+    deadline: Option<Key>,
     /// By number; `None` once it has ended.
     attempts: Vec<Option<Attempt>>,
 }
@@ -338,10 +349,18 @@
         let expires = self.clock.now() + demand.remaining;
         let (answer, receiver) = oneshot::channel();
         let forward = Rc::new(demand.forward);
-        // After the time-outs that are cut to the same moment: the module's own answer comes first.
-        let deadline = self.set_timer(expires + LAST_RESORT, Due::Deadline(job.clone()));
-        let open = Open { answer: Some(answer), forward, expires, deadline, attempts: Vec::new() };
+        let open = Open {
+            answer: Some(answer),
+            remaining: demand.remaining,
+            expires: None,
+            deadline: None,
+            attempts: Vec::new(),
+            forward: forward.clone(),
+        };
         self.open.borrow_mut().insert(job.clone(), open);
+        if matches!(forward.body, Content::Whole(_)) {
+            self.came_whole(&job);
+        }
         self.post(Event::Request(Request {
             job: job.clone(),
             units: demand.units,
@@ -356,6 +375,39 @@
         Some((job, receiver))
     }
 
+    /// The request's last byte has come: its time, and that of its attempts, begins.
+    pub fn came_whole(&self, job: &JobId) {
+        let mut table = self.open.borrow_mut();
+        let Some(open) = table.get_mut(job).filter(|o| o.expires.is_none()) else { return };
+        let now = self.clock.now();
+        let expires = now + open.remaining;
+        open.expires = Some(expires);
+        // After the time-outs that are cut to the same moment: the module's own answer comes first.
+        open.deadline = Some(self.set_timer(expires + LAST_RESORT, Due::Deadline(job.clone())));
+        for (number, attempt) in open.attempts.iter_mut().enumerate() {
+            if let Some(attempt) = attempt.as_mut().filter(|a| a.begun.is_none()) {
+                attempt.sent = now;
+                let due = Due::Attempt(job.clone(), number as u32);
+                attempt.timer = Some(self.set_timer(now + attempt.wait, due));
+            }
+        }
+    }
+
+    /// A large answer has begun: from here on it is the request's, however it ends. `None`: it has another one.
+    fn begun(self: &Rc<Self>, job: &JobId, number: u32, length: Option<u64>) -> Option<mpsc::Sender<Piece>> {
+        let mut table = self.open.borrow_mut();
+        let open = table.get_mut(job)?;
+        let attempt = open.attempts.get_mut(number as usize)?.as_mut()?;
+        let answer = open.answer.take()?;
+        attempt.begun = Some(self.clock.now());
+        let timer = attempt.timer.take();
+        drop(table);
+        timer.into_iter().for_each(|timer| drop(self.timers.borrow_mut().remove(&timer)));
+        let (sender, pieces) = stream::pipe();
+        self.post(Event::FirstByte { job: job.clone() });
+        answer.send(Answer::Streamed(length, pieces)).ok().map(|()| sender)
+    }
+
     /// The client is gone before its answer.
     pub fn left(self: &Rc<Self>, job: &JobId) {
         let waiting = self.open.borrow_mut().get_mut(job).is_some_and(|o| o.answer.take().is_some());
@@ -378,7 +430,7 @@
         let mut table = self.open.borrow_mut();
         let Some(open) = table.get_mut(job) else { return };
         let Some(attempt) = open.attempts.get_mut(number as usize).and_then(Option::take) else { return };
-        self.timers.borrow_mut().remove(&attempt.timer);
+        attempt.timer.into_iter().for_each(|timer| drop(self.timers.borrow_mut().remove(&timer)));
         let answer = if ending.status == Status::Ok { open.answer.take() } else { None };
         if let Some(answer) = answer {
             // A receiver that is gone belongs to a client that is gone, and says so itself.
@@ -392,7 +444,8 @@
             attempt: number,
             server: attempt.server,
             status: ending.status,
-            spent: (self.clock.now() - attempt.sent).max(0.0),
+            // A long answer's time is its client's affair.
+            spent: (attempt.begun.unwrap_or_else(|| self.clock.now()) - attempt.sent).max(0.0),
             over,
             settled: None,
             load: ending.load,
@@ -468,7 +521,7 @@
             let open = table.remove(job);
             drop(table);
             if let Some(open) = open {
-                self.timers.borrow_mut().remove(&open.deadline);
+                open.deadline.into_iter().for_each(|timer| drop(self.timers.borrow_mut().remove(&timer)));
                 self.txns.borrow_mut().remove(&open.forward.txn);
             }
         }
@@ -480,7 +533,7 @@
         let Some(open) = table.get_mut(&job) else { return };
         let number = open.attempts.len() as u32;
         // No time-out of its own means the client's; none is longer.
-        let left = open.expires - now;
+        let left = open.expires.map_or(open.remaining, |expires| expires - now);
         let wait = if timeout == 0.0 { left } else { timeout.min(left) };
         let over = open.answer.is_none();
         let (Some(target), false, true) = (target, over, wait > 0.0) else {
@@ -504,12 +557,14 @@
         let task = tokio::task::spawn_local({
             let (job, trace) = (job.clone(), trace.clone());
             async move {
-                let ending = hub.workers.attempt(&target, &forward, wait, &trace).await;
+                let begin = |length| hub.begun(&job, number, length);
+                let ending = hub.workers.attempt(&target, &forward, wait, &trace, begin).await;
                 hub.ended(&job, number, ending);
             }
         });
-        let timer = self.set_timer(now + wait, Due::Attempt(job, number));
-        open.attempts.push(Some(Attempt { server, sent: now, trace, task: task.abort_handle(), timer }));
+        let timer = open.expires.map(|_| self.set_timer(now + wait, Due::Attempt(job, number)));
+        let task = task.abort_handle();
+        open.attempts.push(Some(Attempt { server, sent: now, wait, begun: None, trace, task, timer }));
     }
 
     fn probe(self: &Rc<Self>, server: ServerId) {
--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -3,11 +3,19 @@
 //! The connection has no task of its own: whoever holds it drives it, so dropping it closes the socket at
 //! once, and nothing can be sent again behind the holder's back.
 
-use crate::http::MAX_HEAD;
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use crate::{
+    http::MAX_HEAD,
+    stream::{Outgoing, Piece},
+};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::{Request, body::Body, header::TRANSFER_ENCODING, http::response::Parts};
+use hyper::{
+    Request, Version,
+    body::{Body, Incoming},
+    header::{CONNECTION, TRANSFER_ENCODING},
+    http::response::Parts,
+};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
@@ -24,7 +32,8 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::sleep,
+    sync::mpsc,
+    time::{sleep, timeout},
 };
 
 /// Whether anything has come on the socket, an end too. The runtime learns of it only at its next turn, so
@@ -37,14 +46,24 @@
     }
 }
 
-/// Longest time from an answer's first byte to its last. Servers write answers whole; one that stops half way
-/// is spoilt, and the request's time is better spent elsewhere.
-const ANSWER_SPAN: Duration = Duration::from_millis(300);
+/// Longest time from an answer's first byte to its head's end: servers that are slow write in small pieces.
+const HEAD_SPAN: Duration = Duration::from_secs(1);
+/// Longest time without a byte of an answer that is gathered: one that stops half way is spoilt, and the request's
+/// time is better spent elsewhere.
+const STALL: Duration = Duration::from_millis(400);
+/// An answer whose length is not told begins to pass on after so long: until then it may turn out to be small, and
+/// a break can be made good elsewhere.
+const GATHER: Duration = Duration::from_millis(50);
+/// Longest time without a byte of an answer that has begun to pass on: nothing better can be done with it.
+const BEGUN_STALL: Duration = Duration::from_secs(5);
 
 /// How much of the present request has been written to the socket.
 #[derive(Debug, Default)]
 pub struct Progress {
-    body: Cell<usize>,
+    /// `None`: its body's length is not known before its end.
+    body: Cell<Option<usize>>,
+    /// The body's end has been handed over, where it comes in pieces.
+    ended: RefCell<Option<Rc<Cell<bool>>>>,
     written: Cell<usize>,
     /// Bytes of the whole request, known from the first write on, which begins with the whole head.
     whole: Cell<Option<usize>>,
@@ -55,8 +74,9 @@
 }
 
 impl Progress {
-    fn begin(&self, body: usize) {
+    fn begin(&self, body: Option<usize>, ended: Option<Rc<Cell<bool>>>) {
         self.body.set(body);
+        self.ended.replace(ended);
         self.written.set(0);
         self.whole.set(None);
         self.begun.set(false);
@@ -76,7 +96,11 @@
 
     /// The last byte has been handed to the socket: the server may have begun.
     pub fn sent_whole(&self) -> bool {
-        self.whole.get().is_some_and(|whole| self.written.get() >= whole)
+        match self.whole.get() {
+            Some(whole) => self.written.get() >= whole,
+            // Its end mark follows at once.
+            None => self.ended.borrow().as_ref().is_some_and(|ended| ended.get()),
+        }
     }
 
     /// Something of the final answer has come.
@@ -92,9 +116,9 @@
     }
 
     fn offered(&self, bytes: &[u8]) {
-        if self.whole.get().is_none() {
+        if let (None, Some(body)) = (self.whole.get(), self.body.get()) {
             let head = bytes.windows(4).position(|w| w == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
-            self.whole.set(Some(head + self.body.get()));
+            self.whole.set(Some(head + body));
         }
     }
 }
@@ -159,8 +183,8 @@
 }
 
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<Connection<TokioIo<Counted>, Full<Bytes>>>>,
+    sender: SendRequest<Outgoing>,
+    driver: Pin<Box<Connection<TokioIo<Counted>, Outgoing>>>,
     progress: Rc<Progress>,
     socket: Rc<TcpStream>,
 }
@@ -168,7 +192,7 @@
 impl Link {
     /// Connects within `limit`.
     pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let socket = tokio::time::timeout(limit, TcpStream::connect(addr)).await??;
+        let socket = timeout(limit, TcpStream::connect(addr)).await??;
         socket.set_nodelay(true)?;
         let progress = Rc::new(Progress::default());
         let socket = Rc::new(socket);
@@ -190,29 +214,27 @@
         !has_input(&self.socket) && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
     }
 
-    /// Sends one request, of `body` bytes behind its head, and reads the whole answer, of `most` at most.
+    /// Sends one request and reads the whole answer, of `most` at most, unless `begin` takes a larger one in pieces.
+    /// Then it returns once that has been passed on, with nothing of it.
     pub async fn exchange(
         &mut self,
-        request: Request<Full<Bytes>>,
-        body: usize,
+        request: Request<Outgoing>,
+        ended: Option<Rc<Cell<bool>>>,
         most: usize,
+        begin: &Begin<'_>,
     ) -> Result<(Parts, Bytes), Failure> {
-        self.progress.begin(body);
+        self.progress.begin(request.body().size_hint().exact().map(|length| length as usize), ended);
         let sending = self.sender.try_send_request(request);
+        let headed = Cell::new(false);
         let mut answer = pin!(async {
             let response = match sending.await {
                 Ok(response) => response,
                 Err(mut error) => return Err(error.take_message().is_some()),
             };
+            headed.set(true);
             let (parts, body) = response.into_parts();
-            // One that is said to be too long is not read at all, and one whose end only a close would tell
-            // might be cut off unseen.
-            let sized = body.size_hint().exact().is_some() || parts.headers.contains_key(TRANSFER_ENCODING);
-            if body.size_hint().lower() > most as u64 || !sized {
-                return Err(false);
-            }
-            let body = Limited::new(body, most).collect().await.map_err(|_| false)?;
-            Ok((parts, body.to_bytes()))
+            let bytes = gather(&parts, body, most, begin).await.ok_or(false)?;
+            Ok((parts, bytes))
         });
         let (mut over, mut span) = (false, None);
         let result = poll_fn(|cx| {
@@ -220,10 +242,12 @@
             if let Poll::Ready(result) = answer.as_mut().poll(cx) {
                 return Poll::Ready(result);
             }
-            // Most answers come in one piece, and need no timer.
+            // Most heads come in one piece, and need no timer.
             let late = self.progress.begun.get()
-                && span.get_or_insert_with(|| Box::pin(sleep(ANSWER_SPAN))).as_mut().poll(cx).is_ready();
-            if over || late { Poll::Ready(Err(false)) } else { Poll::Pending }
+                && !headed.get()
+                && span.get_or_insert_with(|| Box::pin(sleep(HEAD_SPAN))).as_mut().poll(cx).is_ready();
+            // What has come before the end is still to be read where the head told of it.
+            if (over && !headed.get()) || late { Poll::Ready(Err(false)) } else { Poll::Pending }
         })
         .await;
         result.map_err(|handed_back| {
@@ -237,3 +261,43 @@
         })
     }
 }
+
+/// Takes a large answer, of this length if that is known: its pieces go to what is returned, or nowhere.
+pub type Begin<'a> = dyn Fn(&Parts, Option<u64>) -> Option<mpsc::Sender<Piece>> + 'a;
+
+/// Reads an answer's body to its end; `None`: it is spoilt, too long, or nobody wants it any more.
+async fn gather(parts: &Parts, mut body: Incoming, most: usize, begin: &Begin<'_>) -> Option<Bytes> {
+    let length = body.size_hint().exact();
+    // One whose end only a close tells might be cut off unseen, unless its head announces that close.
+    let closes = parts.version == Version::HTTP_10
+        || parts.headers.get(CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    if length.is_none() && !parts.headers.contains_key(TRANSFER_ENCODING) && !closes {
+        return None;
+    }
+    let mut whole = BytesMut::new();
+    let patience = sleep(GATHER);
+    tokio::pin!(patience);
+    while length.is_none_or(|l| l <= most as u64) && whole.len() <= most {
+        let frame = tokio::select! {
+            biased;
+            frame = timeout(STALL, body.frame()) => frame.ok()?,
+            () = patience.as_mut(), if length.is_none() => break,
+        };
+        match frame {
+            None => return Some(whole.freeze()),
+            // Trailers are read over.
+            Some(frame) => whole.extend_from_slice(&frame.ok()?.into_data().unwrap_or_default()),
+        }
+    }
+    let pieces = begin(parts, length)?;
+    if !whole.is_empty() {
+        pieces.send(Piece::Data(whole.freeze())).await.ok()?;
+    }
+    while let Some(frame) = timeout(BEGUN_STALL, body.frame()).await.ok()? {
+        if let Ok(bytes) = frame.ok()?.into_data() {
+            pieces.send(Piece::Data(bytes)).await.ok()?;
+        }
+    }
+    pieces.send(Piece::End).await.ok()?;
+    Some(Bytes::new())
+}
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -12,6 +12,7 @@
 mod link;
 mod operator;
 mod siblings;
+mod stream;
 mod workers;
 
 use clients::Clients;
@@ -103,7 +104,7 @@
         None => None,
     };
     let to_workers = shares * 7 / 20;
-    let bodies = config.memory / 8;
+    let bodies = config.memory / 4;
     let (place, places) = watch::channel(config.discovery);
     let hub = Hub::new(config, to_workers).map_err(NodeError::Settings)?;
     let mut calls = JoinSet::new();
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -1,23 +1,24 @@
 //! Attempts and probes: connections to the workers, kept and reused, and how each exchange ended.
 
 use crate::{
-    http::MAX_BODY,
-    link::{Failure, Link, Progress},
+    http::{MAX_BODY, MAX_WHOLE},
+    link::{Begin, Failure, Link, Progress},
+    stream::{Content, Outgoing, Piece},
 };
 use bytes::Bytes;
 use fnv::FnvHashMap;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header, http::response::Parts};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
+use tokio::sync::mpsc;
 use weirusher::{Lifecycle, Load, Server, ServerId, Status};
 
 /// What goes on to a worker.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Forward {
     pub method: Method,
     pub uri: Uri,
@@ -25,7 +26,7 @@
     /// By it the workers of a group tell a repeat: without it a keyed request is another one.
     pub idempotency_key: Option<header::HeaderValue>,
     pub content_type: Option<header::HeaderValue>,
-    pub body: Bytes,
+    pub body: Content,
 }
 
 /// How an attempt or probe ended.
@@ -226,8 +227,9 @@
         &self,
         target: &Target,
         trace: &Trace,
-        build: impl Fn() -> Request<Full<Bytes>>,
-        body: usize,
+        build: impl Fn() -> Option<Request<Outgoing>>,
+        ended: Option<&Rc<Cell<bool>>>,
+        begin: &Begin<'_>,
         tally: Option<&Rc<Cell<u64>>>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Status> {
         loop {
@@ -238,7 +240,9 @@
             *trace.borrow_mut() = Some(pooled.link.progress());
             pooled.link.progress().tell(tally);
             let idle = pooled.since.elapsed();
-            match pooled.link.exchange(build(), body, MAX_BODY).await {
+            // A body that went by the connection before can't go by another one.
+            let request = build().ok_or(Status::ConnectFailed)?;
+            match pooled.link.exchange(request, ended.cloned(), MAX_WHOLE, begin).await {
                 Ok((parts, bytes)) => {
                     if kept && idle >= self.keep.get() / 2 {
                         self.keep.set((self.keep.get() * 5 / 4).min(self.keep_most));
@@ -259,9 +263,20 @@
     }
 
     /// Sends `what` to the worker once; `wait` tells it how long the gateway will wait.
-    pub async fn attempt(&self, target: &Target, what: &Forward, wait: f64, trace: &Trace) -> Ending {
+    /// A large answer goes to what `begin` returns for its length.
+    pub async fn attempt(
+        &self,
+        target: &Target,
+        what: &Forward,
+        wait: f64,
+        trace: &Trace,
+        begin: impl Fn(Option<u64>) -> Option<mpsc::Sender<Piece>>,
+    ) -> Ending {
+        if !what.body.unsent() {
+            return Ending::of(Status::Moot);
+        }
         let build = || {
-            let mut request = Request::new(Full::new(what.body.clone()));
+            let mut request = Request::new(what.body.take()?);
             *request.method_mut() = what.method.clone();
             *request.uri_mut() = what.uri.clone();
             let headers = request.headers_mut();
@@ -276,11 +291,19 @@
             if let Some(kind) = &what.content_type {
                 headers.insert(header::CONTENT_TYPE, kind.clone());
             }
-            request
+            Some(request)
+        };
+        let ended = match &what.body {
+            Content::Whole(_) => None,
+            Content::Stream { ended, .. } => Some(ended),
+        };
+        // Only what is served has a body that matters.
+        let begin = |parts: &Parts, length: Option<u64>| {
+            let wanted = parts.status == StatusCode::OK && length.is_none_or(|l| l <= MAX_BODY as u64);
+            if wanted { begin(length) } else { None }
         };
         let tally = Some(&self.dispatches);
-        let (status, headers, body) = match self.exchange(target, trace, build, what.body.len(), tally).await
-        {
+        let (status, headers, body) = match self.exchange(target, trace, build, ended, &begin, tally).await {
             Ok(answer) => answer,
             Err(status) => return Ending::of(status),
         };
@@ -297,12 +320,12 @@
     /// Asks the worker how it is.
     pub async fn probe(&self, target: &Target) -> Ending {
         let build = || {
-            let mut request = Request::new(Full::default());
+            let mut request = Request::new(Outgoing::Whole(None));
             *request.uri_mut() = Uri::from_static("/metrics/load");
             request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-            request
+            Some(request)
         };
-        match self.exchange(target, &Trace::default(), build, 0, None).await {
+        match self.exchange(target, &Trace::default(), build, None, &|_, _| None, None).await {
             Ok((StatusCode::OK, _, body)) => {
                 let load = std::str::from_utf8(&body).map(report).unwrap_or_default();
                 Ending { status: Status::Ok, body, load }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -313,7 +313,7 @@
     (spans as u64, spans.fract() * length)
 }
 
-/// The even share of a cap at place `turn` of `of`; what does not go round falls to the first of them, one each.
+/// The even share of a cap at place `turn` of `of`; what does not go round falls to the first, one each.
 fn even(cap: u32, turn: u32, of: u32) -> u32 {
     cap / of + u32::from(turn < cap % of)
 }
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -57,6 +57,20 @@
             message.headers.insert(name.to_lowercase(), value.trim().to_owned());
         }
     }
+    if message.header("transfer-encoding") == "chunked" {
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok()?;
+            let length = usize::from_str_radix(line.trim(), 16).ok()?;
+            let mut chunk = vec![0; length + 2];
+            from.read_exact(&mut chunk).ok()?;
+            assert!(chunk.ends_with(b"\r\n"), "a chunk's end");
+            if length == 0 {
+                return Some(message);
+            }
+            message.body.extend_from_slice(&chunk[..length]);
+        }
+    }
     let length = message.header("content-length").parse().unwrap_or(0);
     message.body = vec![0; length];
     from.read_exact(&mut message.body).ok()?;
@@ -88,6 +102,8 @@
     Serves(&'static str),
     /// Writes these bytes as they are.
     Says(&'static str),
+    /// Writes the first of these, once the gate opens the second, and closes.
+    SaysInTwo(&'static str, Arc<Gate>, &'static str),
     /// Serves, and once the gate opens writes these bytes, which nobody has asked for.
     ServesAndSays(Arc<Gate>, &'static str),
     /// Closes without a word.
@@ -188,6 +204,12 @@
                 let _ = tell.send(Seen::Ending);
                 continue;
             }
+            Does::SaysInTwo(first, gate, second) => {
+                let _ = socket.write_all(first.as_bytes());
+                gate.wait();
+                let _ = socket.write_all(second.as_bytes());
+                return;
+            }
             Does::Resets => return,
             Does::ServesOnce if served => return,
             Does::ServesOnce => ok("once"),
