Look at what was read before reading on when the room for a gathered body grows

A body in chunks whose last bytes had been read with the first ones past a step of 64 KiB waited for more from its client and got 408. Ruled out: the parser of chunks, which reads the same bytes whole.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -423,6 +423,8 @@
             if length.is_none() && whole.len() > most && most < MAX_GATHERED && self.plenty(MAX_WHOLE) {
                 most += MAX_WHOLE;
                 room.grow(MAX_WHOLE);
+                // What has been read and did not fit comes first.
+                continue;
             }
             if length.is_none() && whole.len() > most {
                 return Ok((Gathered::Large { first: whole, rest: body, length }, room));
