--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -48,6 +48,8 @@
 /// At the edge of the budget one that has been idle for so long makes room, the longest idle first: it may
 /// never ask again, and one that waits to be accepted has its request on the way ...
 const IDLE_SPARED: Duration = Duration::from_millis(200);
+/// One that has been idle for so long may be closed any time, and counts with the silent ones.
+const IDLE_OLD: Duration = Duration::from_secs(2);
 /// ... and before it one that has brought no whole request for so long: a client that means to ask does so at
 /// once.
 const SILENCE_SPARED: Duration = Duration::from_millis(150);
@@ -99,6 +101,8 @@
     until: Cell<Instant>,
     /// It is to close, if it is still where it was at that time.
     told: Cell<Option<Instant>>,
+    /// It was told so to make room for another.
+    crowded: Cell<bool>,
     close: Notify,
     task: RefCell<Option<AbortHandle>>,
 }
@@ -110,6 +114,7 @@
             self.heard.set(now);
             self.until.set(now + REQUEST_TIME);
         }
+        self.crowded.set(false);
         self.stage.set(stage);
         self.since.set(now);
     }
@@ -163,6 +168,8 @@
     stopping: Cell<bool>,
     /// New connections are being taken.
     accepting: Cell<bool>,
+    /// Accepted, while there is no room for it.
+    held: RefCell<Option<TcpStream>>,
     /// A failure to accept was logged.
     complained: Cell<bool>,
 }
@@ -180,13 +187,15 @@
             freed: Notify::new(),
             stopping: Cell::new(false),
             accepting: Cell::new(false),
+            held: RefCell::default(),
             complained: Cell::new(false),
         })
     }
 
     /// From now on every answer closes its connection and `/up` says no.
-    pub fn stop(&self) {
+    pub fn stop(self: &Rc<Self>) {
         self.stopping.set(true);
+        self.serve_held();
     }
 
     /// Closes each connection now if it is idle, else after the answer in hand, or that to a body under way.
@@ -213,19 +222,22 @@
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         self.accepting.set(true);
         loop {
-            if self.connections() >= self.share(self.budget) {
-                // At the edge the one that is needed least makes room; if there is none, new ones wait
-                // unaccepted until one ends or there is, or a process that has followed this one takes them.
-                if !self.hub.siblings.followed() {
-                    self.make_room();
-                }
+            if self.full() && self.hub.siblings.followed() {
+                // The process that has followed this one takes them.
                 let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
                 continue;
             }
             match listener.accept().await {
                 Ok((socket, _)) => {
                     self.complained.set(false);
-                    self.serve(socket);
+                    self.held.replace(Some(socket));
+                    // At the edge the one that is needed least makes room for it; if there is none, it waits until
+                    // one ends or there is.
+                    while self.full() {
+                        self.make_room();
+                        let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
+                    }
+                    self.serve_held();
                 }
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
@@ -239,6 +251,15 @@
         }
     }
 
+    fn full(&self) -> bool {
+        self.connections() >= self.share(self.budget)
+    }
+
+    /// Serves the connection that waits for room: it is accepted, so its request is taken.
+    fn serve_held(self: &Rc<Self>) {
+        self.held.take().into_iter().for_each(|socket| self.serve(socket));
+    }
+
     /// This process's part of what all of the gateway's may hold.
     fn share(&self, whole: usize) -> usize {
         whole / self.hub.siblings.sharing().1 as usize
@@ -246,22 +267,28 @@
 
     fn make_room(&self) {
         let peers = self.peers.borrow();
+        if peers.values().any(|p| p.crowded.get()) {
+            return; // It is on its way out.
+        }
         // A slow client that still brings something is not among the silent ones.
+        let since =
+            |p: &Rc<Peer>| if p.stage.get() == Stage::Reading { p.heard.get() } else { p.since.get() };
         let longest = |stage: Stage, spared: Duration| {
-            let since = |p: &Rc<Peer>| if stage == Stage::Reading { p.heard.get() } else { p.since.get() };
             let old = |p: &&Rc<Peer>| p.stage.get() == stage && since(p).elapsed() > spared;
             peers.values().filter(old).min_by_key(|p| since(p))
         };
         if let Some(peer) = longest(Stage::Leaving, SILENCE_SPARED) {
-            peer.abort();
-        } else if let Some(peer) = longest(Stage::Reading, SILENCE_SPARED) {
-            peer.tell_to_close();
-        } else if longest(Stage::Leaving, Duration::ZERO)
-            .or(longest(Stage::Reading, Duration::ZERO))
-            .is_some()
-        {
-            // One of these is due in a moment, and is of less use than a client that has asked before.
-        } else if let Some(peer) = longest(Stage::Idle, IDLE_SPARED) {
+            return peer.abort();
+        }
+        let silent =
+            longest(Stage::Reading, SILENCE_SPARED).into_iter().chain(longest(Stage::Idle, IDLE_OLD));
+        let usual = || {
+            // One that is silent is due in a moment, and of less use than a client that has asked before.
+            let none = longest(Stage::Reading, Duration::ZERO).is_none();
+            longest(Stage::Idle, IDLE_SPARED).filter(|_| none)
+        };
+        if let Some(peer) = silent.min_by_key(|p| since(p)).or_else(usual) {
+            peer.crowded.set(true);
             peer.tell_to_close();
         }
     }
@@ -293,6 +320,7 @@
             heard: Cell::new(Instant::now()),
             until: Cell::new(Instant::now() + REQUEST_TIME),
             told: Cell::new(None),
+            crowded: Cell::new(false),
             close: Notify::new(),
             task: RefCell::default(),
         });
@@ -462,10 +490,13 @@
                         continue;
                     }
                     let idle = buffer.is_empty();
-                    // A request that has come meanwhile is served, not cut off.
-                    if !idle || !link::has_input(socket) {
-                        return Err(if idle { End::Close } else { End::Say(StatusCode::REQUEST_TIMEOUT) });
+                    // A request that has come meanwhile is served, not cut off. In a crowd there is no room for a
+                    // last word.
+                    if !link::has_input(socket) {
+                        let quiet = idle || peer.crowded.get();
+                        return Err(if quiet { End::Close } else { End::Say(StatusCode::REQUEST_TIMEOUT) });
                     }
+                    peer.crowded.set(false);
                 }
             }
             buffer.reserve(most);
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -53,9 +53,9 @@
 const END_BY: Duration = Duration::from_millis(200);
 /// Between looks for idle connections that are due.
 const SWEEP: Duration = Duration::from_secs(1);
-/// Descriptors beside clients and workers: the standard three, runtime, signals, listener, discovery, a
+/// Descriptors beside clients and workers: the standard three, runtime, signals, listener, a client just accepted, discovery, a
 /// configuration being read, and the counter's lines, also those at old addresses.
-const OTHERS: usize = 20 + counter::LINES * (1 + gateway::RETIRED);
+const OTHERS: usize = 21 + counter::LINES * (1 + gateway::RETIRED);
 
 #[derive(Debug)]
 enum NodeError {
