--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -434,8 +434,9 @@
         let length = if let Framing::Length(length) = head.framing { Some(length) } else { None };
         let mut most = MAX_WHOLE;
         let large = length.is_some_and(|l| l > MAX_GATHERED || l > MAX_WHOLE && !self.plenty(l));
-        let room = if large { STREAM } else { length.unwrap_or(MAX_WHOLE) };
-        let mut room = self.take_room(room).ok_or(End::Say(StatusCode::SERVICE_UNAVAILABLE))?;
+        let none = End::Say(StatusCode::SERVICE_UNAVAILABLE);
+        // Room is taken as bytes come: what is only announced may never come.
+        let mut room = self.take_room(if large { STREAM } else { 0 }).ok_or(none)?;
         let (mut body, mut whole) = (Body::new(head.framing), BytesMut::new());
         if large {
             return Ok((Gathered::Large { first: whole, rest: body, length }, room));
@@ -448,9 +449,13 @@
             if body.take(buffer, &mut whole, wanted).map_err(End::Say)? {
                 return Ok((Gathered::Whole(whole.freeze()), room));
             }
+            let held = whole.len().next_multiple_of(stream::PIECE);
+            if held > room.1 {
+                let more = self.take_room(held - room.1).ok_or(End::Say(StatusCode::SERVICE_UNAVAILABLE))?;
+                room.join(more);
+            }
             if length.is_none() && whole.len() > most && most < MAX_GATHERED && self.plenty(MAX_WHOLE) {
                 most += MAX_WHOLE;
-                room.grow(MAX_WHOLE);
                 // What has been read and did not fit comes first.
                 continue;
             }
@@ -896,10 +901,9 @@
         Some(Self(left, bytes))
     }
 
-    /// Takes more, which must be there.
-    fn grow(&mut self, bytes: usize) {
-        self.0.set(self.0.get().saturating_sub(bytes));
-        self.1 += bytes;
+    /// Gives it back together with the other's.
+    fn join(&mut self, mut other: Self) {
+        self.1 += std::mem::take(&mut other.1);
     }
 }
 
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -538,7 +538,12 @@
 
     /// The same with more to inherit.
     pub fn start_as(&self, start: Start) -> Node {
-        let (mut child, path) = run_as(&self.config().to_string(), start);
+        self.start_on(&self.config().to_string(), start)
+    }
+
+    /// The same on another configuration.
+    pub fn start_on(&self, config: &str, start: Start) -> Node {
+        let (mut child, path) = run_as(config, start);
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -319,3 +319,21 @@
     }
     assert_eq!(node.ask(&Ask::new("a")).status(), 200);
 }
+
+#[test]
+fn bodies_that_are_only_announced_take_no_room_from_others() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    setup.sockets = 1024;
+    let mut config = setup.config();
+    // A quarter of it is for bodies: 64 of 64 KiB.
+    config["limits"]["memory_mb"] = serde_json::json!(16);
+    let node = setup.start_on(&config.to_string(), Start::default());
+    let mut half = Ask::submit("half").with("Content-Length", "65000");
+    half.body = b"some".to_vec();
+    let mut held: Vec<Client> = (0..200).map(|_| node.client()).collect();
+    held.iter_mut().enumerate().for_each(|(i, c)| c.send(&half.clone().with("X-Txn", &format!("h{i}"))));
+    let mut whole = Ask::submit("whole");
+    whole.body = vec![b'x'; 65_000];
+    assert_eq!(node.ask(&whole).status(), 200);
+}
