Rest a cold worker's budget on the workers that a gateway keeps to, not on all

Ruled out: rule 4's limit (three times the present capacity is far above); health (cold workers answered in 0.1 s). At fault: cold_room() divided what the gateway sends by all 60 listed workers, though it keeps to 12 and a worker meets 20 gateways of 100: the sum of all budgets was a fifth of what was meant. Cold workers beyond those a gateway keeps to are left to the others, so that the sum stays what is meant.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -655,7 +655,8 @@
     /// surely has; as every gateway does so, they stay under the multiple together, and each starts at a
     /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
-        let mean = self.sent_units.level / RATE_MEMORY / self.names.len().max(1) as f64;
+        // Over those that it keeps to: it is one of the few gateways that any of them meets.
+        let mean = self.sent_units.level / RATE_MEMORY / self.near().max(1) as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
         self.carried.level = self.carried.level.max(mean);
@@ -670,12 +671,18 @@
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
+    /// How many of the servers it keeps to.
+    fn near(&self) -> usize {
+        let count = self.names.len();
+        SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count)
+    }
+
     /// The server that should answer first, among those this job may go to; `None`: all are full.
     fn choose(&mut self, job: &Job) -> Option<ServerId> {
         let anchor = self.anchor(job)?;
         let mut best: Option<(f64, ServerId)> = None;
         let count = self.names.len();
-        let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
+        let near = self.near();
         let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
         for i in 0..count {
             if i >= near && best.is_some() {
@@ -698,7 +705,9 @@
             let erred = host.errors.get(job.request.class);
             let erring = erred.map_or(0.0, |e| e.level * (-(self.now - e.at) / ERROR_MEMORY).exp());
             let score = (1.0 + host.inflight) * slow * (ERRING * erring).max(1.0);
-            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
+            let warm = host.cold_since <= 0.0 || self.now - host.cold_since >= self.set.cold;
+            let may = warm || i < near && self.cold_room(&id) >= 1.0;
+            if best.as_ref().is_none_or(|(s, _)| score < *s) && may {
                 best = Some((score, id));
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use weirusher::*;
 
 fn fleet(n: u32, settings: &Settings, servers: &[Server]) -> Vec<Rig> {
@@ -214,3 +214,56 @@
     }
     assert!((8..=60).contains(&calls), "{calls} calls in a minute");
 }
+
+/// What `n` gateways send a second, after `new` of the `all` servers were replaced by cold ones at one moment: to a
+/// cold server in the mean and at most, and to any server before.
+fn sent_to_cold(n: u32, all: u32, new: u32) -> (f64, f64, f64) {
+    let mut s = settings();
+    s.plans = vec![Plan::default()];
+    let mut rigs = fleet(n, &s, &servers(all));
+    let (mut before, mut cold) = (0, BTreeMap::new());
+    let mut rng = fastrand::Rng::with_seed(7);
+    for step in 0..120 {
+        let now = 100.0 + f64::from(step) * 0.1;
+        let replaced = (0..new).flat_map(|i| {
+            let gone = server(&format!("s{:03}", i * all / new), Lifecycle::Gone, 0.0);
+            [gone, server(&format!("t{i:03}"), Lifecycle::Running, now)]
+        });
+        let changes: Vec<Server> = if step == 60 { replaced.collect() } else { Vec::new() };
+        for (i, rig) in rigs.iter_mut().enumerate() {
+            rig.now = now;
+            if step == 60 {
+                rig.list(ListKind::Changes, changes.clone());
+            }
+            for turn in 0..(100 / n).max(1) {
+                let job = format!("{i}-{step}-{turn}");
+                let sent = sends(&rig.ask(&job)).pop().map(|(_, server)| server);
+                before += u32::from(sent.is_some() && (30..60).contains(&step));
+                // Answers take 50 to 140 ms, cold or warm.
+                let spent = 0.05 + 0.09 * rng.f64();
+                if let Some(server) = sent.clone() {
+                    let (job, status, over, load) = (job.into(), Status::Ok, true, Load::default());
+                    let settled = None;
+                    rig.event(Event::Outcome { job, attempt: 0, server, status, spent, over, settled, load });
+                }
+                if let Some(id) = sent.filter(|id| id.starts_with('t') && step >= 90) {
+                    *cold.entry(id).or_insert(0) += 1;
+                }
+            }
+        }
+    }
+    let seconds = 3.0;
+    let mean = f64::from(cold.values().sum::<u32>()) / seconds / f64::from(new);
+    let most = f64::from(cold.values().copied().max().unwrap_or(0)) / seconds;
+    (mean, most, f64::from(before) / seconds / f64::from(all))
+}
+
+#[test]
+fn cold_servers_carry_their_share_whatever_the_size_of_the_fleet() {
+    for (n, all, new) in [(3, 9, 5), (12, 20, 12), (100, 60, 36)] {
+        let (mean, most, before) = sent_to_cold(n, all, new);
+        // At an age of 3 to 6 s of 10 it surely has 0.44 to 0.68 of its capacity.
+        assert!(mean >= 0.25 * before, "{n} gateways: {mean} to a cold server, {before} to any before");
+        assert!(most <= 2.0 * 0.44 * before * 2.0, "{n} gateways: {most} to one, {before} to any before");
+    }
+}
