Begin each gateway's own workers evenly over the list, not at a random place

At fault: the place in the list where a gateway's 12 workers begin was drawn at random at each start, so 1 to 20 gateways met a worker. It follows from the gateway's number now, by the golden section: even for any number of gateways, the same after a restart, and far apart for gateways in a row, which carry the same customers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -76,6 +76,8 @@
 /// Servers that a gateway keeps to while any may be sent to: at least, and times servers over gateways, so
 /// that many meet at each. It hears of few often, not of all rarely, and opens few connections.
 const SUBSET: (usize, usize) = (6, 20);
+/// The golden section: its multiples' fractions lie evenly on a circle, however many.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Failures in a row that put a server out; a refused connection counts as all but one of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds for which a server must be out of reach, with no answer between, to count as gone: connections
@@ -95,12 +97,12 @@
 /// Share of the time-outs of late over which they say nothing of one server: the fleet is slow.
 const TIMEOUTS_FEW: f64 = 0.3;
 
-/// Seconds that each gateway adds to the span over which all spread their first calls for the list: a call's turn.
+/// Seconds that each gateway adds to the span over which all spread their first calls for the list.
 const ASK_TURN: f64 = 0.05;
-/// While calls fail this span grows to so many turns of all, and to so many seconds, as a small fleet's hurt nobody.
+/// While calls fail this span grows to so many times that, or so many seconds: a small fleet's hurt nobody.
 const ASK_MOST: (f64, f64) = (8.0, 2.0);
-/// Share of the time after which a gateway that has not asked counts as told that it may wait, and of the time
-/// after a call that failed, which is four times as long.
+/// Share that it may wait of the time after which a gateway that has not asked counts as told; after a call
+/// that failed that is four times as long.
 const ASK_SHARE: f64 = 0.8;
 
 /// Where an attempt stands, as far as rule two cares.
@@ -344,10 +346,12 @@
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let mut rng = fastrand::Rng::with_seed(seed);
+        let rng = fastrand::Rng::with_seed(seed);
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
-        let (phase, rng) = (rng.f64(), Some(rng));
+        // Even over the gateways, and far apart for those in a row, as a customer's are.
+        let phase = (f64::from(settings.me) * GOLDEN).fract();
+        let rng = Some(rng);
         Ok(Self {
             set: settings,
             flows,
