Bound the least rate of calls to the counter by the fleet, not by each gateway

At fault: a gateway never called less than 4 times a second, whatever it found, 400 together, and grew by a quarter of the rate's root an answer, a fifth of so small a rate, right back into the line. The least is 40 calls a second over all gateways now, and what grew after a slow answer grows by a tenth.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,15 +27,18 @@
 const HOLD_SHARE: f64 = 0.4;
 /// Share of the counter's time limit past which an answer shows a crowded counter.
 const CROWDED_SHARE: f64 = 0.6;
-/// Calls a second to the counter: at least (trials while it is quiet), and at the start over all gateways:
-/// few, as it may not bear a call a request, and a long line takes longer to work off than to find.
-const CALLS: (f64, f64) = (4.0, 200.0);
-/// Calls that may be saved up, at least, and in seconds of the rate.
-const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
+/// Calls a second to the counter, of a gateway and of all together at most: at least (trials while it is
+/// quiet), and at the start: few, as it may not bear a call a request, and a long line is slow to work off.
+const CALLS: [(f64, f64); 2] = [(4.0, 40.0), (200.0, 400.0)];
+/// Calls that may be saved up: at least, of a gateway and of all together; and in seconds of the rate.
+const CALLS_SAVED: (f64, f64, f64) = (3.0, 300.0, 0.1);
 /// After a silence a quick answer multiplies the rate by this, up to this share of what was borne before it.
 const CALLS_BACK: (f64, f64) = (4.0, 0.5);
 /// How the rate of calls moves: up by this times its root when quick, times these when slow or lost.
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
+/// Most that it grows by, as a share, once the counter was seen slow: its root is much of a small rate, and
+/// many gateways of such rates would hold the counter crowded.
+const CALLS_GROWTH: f64 = 0.1;
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take over an idle fleet's before less is let in: the rest is for swings.
@@ -328,6 +331,11 @@
     (spans as u64, spans.fract() * length)
 }
 
+/// A gateway's rate of calls, at least and at the start: many gateways have no more together than some.
+fn calls(s: &Settings) -> [f64; 2] {
+    CALLS.map(|(own, all)| own.min(all / f64::from(s.gateways)))
+}
+
 /// The even share of a cap at place `turn` of `of`; what does not go round falls to the first, one each.
 fn even(cap: u32, turn: u32, of: u32) -> u32 {
     cap / of + u32::from(turn < cap % of)
@@ -347,11 +355,11 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
         let rng = fastrand::Rng::with_seed(seed);
-        let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
         // Even over the gateways, and far apart for those in a row, as a customer's are.
         let phase = (f64::from(settings.me) * GOLDEN).fract();
         let rng = Some(rng);
+        let [_, call_rate] = calls(&settings);
         Ok(Self {
             set: settings,
             flows,
@@ -395,10 +403,16 @@
 
     /// The counter may be called: a token bucket, whose rate the counter's speed moves, has a call.
     fn usable(&mut self) -> bool {
-        let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.call_rate);
+        let saved = self.calls_saved();
         self.tokens.refill(self.now, self.call_rate, saved) > 0.0 && self.set.has_counter
     }
 
+    /// Calls that may be saved up; one at least, as a call takes one.
+    fn calls_saved(&self) -> f64 {
+        let (own, all, span) = CALLS_SAVED;
+        own.min(all / f64::from(self.set.gateways)).max(span * self.call_rate).max(1.0)
+    }
+
     /// A number from 0 to 1, from the seed.
     fn draw(&mut self) -> f64 {
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
@@ -520,7 +534,7 @@
         let [latency, typical, idle] = memory.times.map(|t| t.clamp(0.0, longest));
         (self.latency, self.typical, self.idle) = (latency, typical, Store { level: idle, at: now });
         self.carried = Store { level: memory.carried.max(0.0), at: now };
-        self.call_rate = memory.call_rate.clamp(CALLS.0, self.call_rate);
+        self.call_rate = memory.call_rate.clamp(calls(&self.set)[0].min(self.call_rate), self.call_rate);
         self.followed = now;
     }
 
@@ -786,7 +800,7 @@
         // Crowded calls go to the largest worth at stake: a lesser one must find a fuller bucket.
         let worth = units * plan.pays;
         self.stake += GAIN * (worth - self.stake);
-        let price = (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0);
+        let price = (self.stake / worth.max(1e-9)).powi(2).clamp(0.2, self.calls_saved());
         let usable = self.usable() && self.tokens.level >= price;
         let customer = self.customers.get_mut(&key).expect("admitted customers are known");
         if customer.window != window(plan, &key, self.now).0 {
@@ -979,13 +993,16 @@
             // Once for all that was out at that moment or went out right behind it: they met the same line.
             self.slowed = self.now;
             self.borne = self.borne.max(self.call_rate);
-            self.call_rate = (self.call_rate * if status == Status::Ok { slow } else { lost }).max(CALLS.0);
+            self.call_rate =
+                (self.call_rate * if status == Status::Ok { slow } else { lost }).max(calls(&self.set)[0]);
         } else if quick && self.call_rate < back {
             self.call_rate = (self.call_rate * CALLS_BACK.0).min(back);
         } else if quick && self.tokens.level < 1.0 {
             // What was borne once may be too much now: forgotten as soon as the way back is gone.
             self.borne = 0.0;
-            self.call_rate += root * self.call_rate.sqrt();
+            let step = root * self.call_rate.sqrt();
+            let gentle = self.slowed > 0.0;
+            self.call_rate += if gentle { step.min(CALLS_GROWTH * self.call_rate) } else { step };
         }
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -286,3 +286,65 @@
         assert!(sent.values().all(|v| bounds.contains(&f64::from(*v))), "{n} gateways: {mean} of {sent:?}");
     }
 }
+
+/// Of the calls of the last 10 s of 20 that `n` gateways make to a counter that answers 250 a second in turn, the
+/// share answered within the limit, and how many that are.
+fn counted_in_time(n: u32) -> (f64, u32) {
+    let mut s = settings();
+    s.count_limit = 0.08;
+    let mut rigs = fleet(n, &s, &servers(9));
+    let (mut line, mut free): (VecDeque<(f64, usize, u64)>, f64) = (VecDeque::new(), 100.0);
+    let (mut calls, mut well, mut number) = (0, 0, 0);
+    for step in 0..2000 {
+        let now = 100.0 + f64::from(step) * 0.01;
+        let mut reports = Vec::new();
+        while let Some((since, i, counter)) = line.front().copied().filter(|_| free <= now) {
+            line.pop_front();
+            free = free.max(since) + 1.0 / 250.0;
+            let spent = (now - since).max(0.002);
+            // What nobody waits for any more has been reported already, and is worked on all the same.
+            if spent <= s.count_limit {
+                reports.push((i, counter, Status::Ok, spent));
+                well += u32::from(step >= 1000);
+            }
+        }
+        let late = |at: f64| (now - at > s.count_limit) && (now - at <= s.count_limit + 0.01);
+        let lost = line.iter().filter(|(at, ..)| late(*at));
+        reports.extend(lost.map(|(_, i, counter)| (*i, *counter, Status::Timeout, s.count_limit)));
+        let mut out: Vec<(usize, Action)> = Vec::new();
+        for (i, counter, status, spent) in reports {
+            rigs[i].now = now;
+            let event = Event::Counted { counter, status, total: 1.0, spent };
+            out.extend(rigs[i].event(event).into_iter().map(|a| (i, a)));
+        }
+        // 800 requests a second, each of another customer.
+        for _ in 0..8 {
+            number += 1;
+            let i = number % n as usize;
+            rigs[i].now = now;
+            let mut request = request(&format!("j{number}"), now);
+            request.customer = format!("c{number}").into();
+            out.extend(rigs[i].event(Event::Request(request)).into_iter().map(|a| (i, a)));
+        }
+        for (i, action) in out {
+            match action {
+                Action::Count { counter, .. } => {
+                    calls += u32::from(step >= 1000);
+                    line.push_back((now, i, counter));
+                }
+                Action::Send { job, server, .. } => drop(rigs[i].outcome(&job, 0, &server, Status::Ok)),
+                _ => {}
+            }
+        }
+    }
+    (f64::from(well) / f64::from(calls), well)
+}
+
+#[test]
+fn a_counter_too_slow_for_the_fleet_is_not_kept_crowded() {
+    for n in [1, 3, 12, 100] {
+        let (share, well) = counted_in_time(n);
+        assert!(share >= 0.5, "{n} gateways: {share} of their calls are answered in time");
+        assert!(well >= 500, "{n} gateways: {well} answered in time where 2500 could be");
+    }
+}
