--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,7 @@
 const CROWDED_SHARE: f64 = 0.6;
 /// Calls a second to the counter, of a gateway and of all together at most: at least (trials while it is
 /// quiet), and at the start: few, as it may not bear a call a request, and a long line is slow to work off.
-const CALLS: [(f64, f64); 2] = [(4.0, 40.0), (200.0, 400.0)];
+const CALLS: [(f64, f64); 2] = [(4.0, 40.0), (100.0, 400.0)];
 /// Calls that may be saved up: at least, of a gateway and of all together; and in seconds of the rate.
 const CALLS_SAVED: (f64, f64, f64) = (3.0, 300.0, 0.1);
 /// After a silence a quick answer multiplies the rate by this, up to this share of what was borne before it.
