Let fleets of a few gateways start with as many counter calls as before

Ruled out by reading only: the cold budget and the even starts, which are the same where a gateway keeps to all workers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,9 @@
 const CROWDED_SHARE: f64 = 0.6;
 /// Calls a second to the counter, of a gateway and of all together at most: at least (trials while it is
 /// quiet), and at the start: few, as it may not bear a call a request, and a long line is slow to work off.
-const CALLS: [(f64, f64); 2] = [(4.0, 40.0), (100.0, 400.0)];
+const CALLS: [(f64, f64); 2] = [(4.0, 40.0), (4.0, 400.0)];
+/// All together start with so many at least.
+const CALLS_START: f64 = 200.0;
 /// Calls that may be saved up: at least, of a gateway and of all together; and in seconds of the rate.
 const CALLS_SAVED: (f64, f64, f64) = (3.0, 300.0, 0.1);
 /// After a silence a quick answer multiplies the rate by this, up to this share of what was borne before it.
@@ -333,7 +335,9 @@
 
 /// A gateway's rate of calls, at least and at the start: many gateways have no more together than some.
 fn calls(s: &Settings) -> [f64; 2] {
-    CALLS.map(|(own, all)| own.min(all / f64::from(s.gateways)))
+    let n = f64::from(s.gateways);
+    let [least, start] = CALLS.map(|(own, all)| own.min(all / n));
+    [least, start.max(CALLS_START / n)]
 }
 
 /// The even share of a cap at place `turn` of `of`; what does not go round falls to the first, one each.
