Send no attempt past the time for which the servers remember its request

A client that came again: one gatekeeper wrote both, under one name. The group: zone and cell of all copies were compared. The module's check at the send: it held in each case.

`Gateway::anchor` asks for the window when an attempt is decided, `Workers::exchange` writes it whenever its connection is up, up to the connect limit later, and asked only whether the worker still stands.

The module says with each further attempt until when the servers remember the request, counted from the first attempt that may have run; from then on the node stops what is not written whole of that request, the first attempt, too, and asks once more before the first byte. A body that passes through goes out once, so it has no such time.

Tests seen to fail before: a copy whose connection never comes up, one whose connection comes up in the same turn as the end of the window (each without its half of the mend), and the module's word for it.

--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -153,7 +153,7 @@
 
 fn reply(action: Action) -> Value {
     match action {
-        Action::Send { job, server, timeout } => json!(["PLACE", &*job, timeout, &*server]),
+        Action::Send { job, server, timeout, .. } => json!(["PLACE", &*job, timeout, &*server]),
         Action::Refuse { job, retry_after } => json!(["PUSH_BACK", &*job, retry_after]),
         Action::Fail { job } => json!(["SURRENDER", &*job]),
         Action::Cancel { job, attempt } => json!(["REVOKE", &*job, attempt]),
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -101,6 +101,8 @@
     /// `None`: its body is still on its way.
     expires: Option<Time>,
     deadline: Option<Key>,
+    /// From then on none of its attempts may be written.
+    until: Time,
     /// By number; `None` once it has ended.
     attempts: Vec<Option<Attempt>>,
 }
@@ -110,6 +112,8 @@
     Module(u64),
     Attempt(JobId, u32),
     Deadline(JobId),
+    /// The servers may have forgotten the request.
+    Forgotten(JobId),
     Count(Rc<Counter>, u64),
 }
 
@@ -362,6 +366,7 @@
             remaining: demand.remaining,
             expires: None,
             deadline: None,
+            until: f64::INFINITY,
             attempts: Vec::new(),
             forward: forward.clone(),
         };
@@ -483,7 +488,7 @@
 
     fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
         match action {
-            Action::Send { job, server, timeout } => self.send(now, job, server, timeout),
+            Action::Send { job, server, timeout, until } => self.send(now, job, server, timeout, until),
             Action::Refuse { job, retry_after } => self.answer(&job, Answer::Refused(retry_after)),
             Action::Fail { job } => self.answer(&job, Answer::Failed),
             Action::Cancel { job, attempt } => self.stop(&job, attempt, Status::Cancelled),
@@ -522,15 +527,21 @@
         }
     }
 
-    /// Winds up a request that is answered or whose client has left. An attempt that still waits for its
-    /// connection, or is half written, must not begin its work now: it is stopped. Without attempts out the
-    /// request is dropped.
+    /// Whether an attempt of a request may begin its work: its client waits, and the servers would know a repeat.
+    fn may_begin(&self, job: &JobId) -> bool {
+        self.open.borrow().get(job).is_some_and(|o| o.answer.is_some() && self.clock.now() < o.until)
+    }
+
+    /// Winds up a request that is answered, whose client has left, or which the servers may have forgotten. An
+    /// attempt that still waits for its connection, or is half written, must not begin its work now: it is
+    /// stopped. Without attempts out an answered request is dropped.
     fn wind_up(self: &Rc<Self>, job: &JobId) {
         let unsent = |attempt: &Attempt| attempt.begun.is_none() && !may_have_run(&attempt.trace);
-        let answered = |open: &&Open| open.answer.is_none();
-        let unsent: Vec<u32> = {
+        let unsent: Vec<u32> = if self.may_begin(job) {
+            Vec::new()
+        } else {
             let table = self.open.borrow();
-            let attempts = table.get(job).filter(answered).into_iter().flat_map(|o| (0..).zip(&o.attempts));
+            let attempts = table.get(job).into_iter().flat_map(|o| (0..).zip(&o.attempts));
             attempts.filter(|(_, a)| a.as_ref().is_some_and(unsent)).map(|(number, _)| number).collect()
         };
         unsent.into_iter().for_each(|number| self.stop(job, number, Status::Cancelled));
@@ -545,7 +556,7 @@
         }
     }
 
-    fn send(self: &Rc<Self>, now: Time, job: JobId, server: ServerId, timeout: f64) {
+    fn send(self: &Rc<Self>, now: Time, job: JobId, server: ServerId, timeout: f64, until: Option<Time>) {
         let mut table = self.open.borrow_mut();
         let target = self.workers.target(&server);
         let Some(open) = table.get_mut(&job) else { return };
@@ -571,12 +582,18 @@
             };
             return self.events.borrow_mut().push_back(event);
         };
+        // A body that comes in pieces goes out once at most, and may take its time.
+        if let (Some(until), Content::Whole(_)) = (until, &open.forward.body) {
+            open.until = until;
+            self.set_timer(until, Due::Forgotten(job.clone()));
+        }
         let (hub, trace, forward) = (self.clone(), Trace::default(), open.forward.clone());
         let task = tokio::task::spawn_local({
             let (job, trace) = (job.clone(), trace.clone());
             async move {
                 let begin = |length| hub.begun(&job, number, length);
-                let ending = hub.workers.attempt(&target, &forward, wait, &trace, begin).await;
+                let may_begin = || hub.may_begin(&job);
+                let ending = hub.workers.attempt(&target, &forward, wait, &trace, may_begin, begin).await;
                 hub.ended(&job, number, ending);
             }
         });
@@ -631,6 +648,7 @@
             Due::Module(token) => self.post(Event::Timer { token }),
             Due::Attempt(job, number) => self.stop(&job, number, Status::Timeout),
             Due::Count(client, number) => client.expire(self, number),
+            Due::Forgotten(job) => self.wind_up(&job),
             // The module answers before: this is the last resort, so that no client waits for nothing.
             Due::Deadline(job) => {
                 let waits = self.open.borrow().get(&job).is_some_and(|o| o.answer.is_some());
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -233,7 +233,7 @@
         &self,
         target: &Target,
         trace: &Trace,
-        build: impl Fn() -> Option<Request<Outgoing>>,
+        build: impl Fn() -> Result<Request<Outgoing>, Status>,
         ended: Option<&Rc<Cell<bool>>>,
         begin: &Begin<'_>,
         tally: Option<&Rc<Cell<u64>>>,
@@ -250,8 +250,7 @@
             if !self.stands(target) {
                 return Err(Status::Moot);
             }
-            // A body that went by the connection before can't go by another one.
-            let request = build().ok_or(Status::ConnectFailed)?;
+            let request = build()?;
             match pooled.link.exchange(request, ended.cloned(), MAX_WHOLE, begin).await {
                 Ok((parts, bytes)) => {
                     if kept && idle >= self.keep.get() / 2 {
@@ -272,21 +271,26 @@
         }
     }
 
-    /// Sends `what` to the worker once; `wait` tells it how long the gateway will wait.
-    /// A large answer goes to what `begin` returns for its length.
+    /// Sends `what` to the worker once, if it `may_begin` when the connection is there; `wait` tells the worker how
+    /// long the gateway will wait. A large answer goes to what `begin` returns for its length.
     pub async fn attempt(
         &self,
         target: &Target,
         what: &Forward,
         wait: f64,
         trace: &Trace,
+        may_begin: impl Fn() -> bool,
         begin: impl Fn(Option<u64>) -> Option<mpsc::Sender<Piece>>,
     ) -> Ending {
         if !what.body.unsent() {
             return Ending::of(Status::Moot);
         }
         let build = || {
-            let mut request = Request::new(what.body.take()?);
+            if !may_begin() {
+                return Err(Status::Moot);
+            }
+            // A body that went by the connection before can't go by another one.
+            let mut request = Request::new(what.body.take().ok_or(Status::ConnectFailed)?);
             *request.method_mut() = what.method.clone();
             *request.uri_mut() = what.uri.clone();
             let headers = request.headers_mut();
@@ -301,7 +305,7 @@
             if let Some(kind) = &what.content_type {
                 headers.insert(header::CONTENT_TYPE, kind.clone());
             }
-            Some(request)
+            Ok(request)
         };
         let ended = match &what.body {
             Content::Whole(_) => None,
@@ -333,7 +337,7 @@
             let mut request = Request::new(Outgoing::Whole(None));
             *request.uri_mut() = Uri::from_static("/metrics/load");
             request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-            Some(request)
+            Ok(request)
         };
         match self.exchange(target, &Trace::default(), build, None, &|_, _| None, None).await {
             Ok((StatusCode::OK, _, body)) => {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -424,6 +424,9 @@
         server: ServerId,
         /// Seconds until it is given up.
         timeout: f64,
+        /// From then on the servers may have forgotten the request and would not discard a repeat, so none of its
+        /// attempts may still be written, also one that waits for its connection. `None`: no such time.
+        until: Option<Time>,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -745,13 +745,20 @@
         match self.set.classes[job.request.class].effect {
             Effect::Safe => Some(None),
             Effect::Unsafe => None,
-            Effect::Keyed { group, window } => {
+            Effect::Keyed { group, .. } => {
                 let host = self.servers.get(&first.server)?;
-                (self.now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
+                (self.now < self.remembered(job)?).then_some(Some((group, host.zone, host.cell)))
             }
         }
     }
 
+    /// Until when servers discard repeats of a job: counted from the first attempt that may have run.
+    fn remembered(&self, job: &Job) -> Option<Time> {
+        let first = job.attempts.iter().find(|a| a.ran != Ran::Never)?;
+        let Effect::Keyed { window, .. } = self.set.classes[job.request.class].effect else { return None };
+        Some(first.sent + window)
+    }
+
     // ---- Admission ----
 
     fn request(&mut self, request: Request) {
@@ -1135,7 +1142,8 @@
                 customer.open += 1;
             }
             note_demand(&mut self.sent_units, self.now, job.request.units, RATE_MEMORY);
-            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
+            let until = self.remembered(&job);
+            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, until });
             job.attempts.push(Attempt {
                 server: server.clone(),
                 sent: self.now,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -119,6 +119,51 @@
     late.given_up();
 }
 
+/// A keyed request that `well` keeps for itself, and a copy of it that waits for its connection to `late`: whichever
+/// of the two was first. The workers remember it for four seconds.
+fn copied(late: &Late, well: &Worker) -> (Setup, Node, Client, Discovery) {
+    let (mut setup, discovery) = Setup::new(&[well]);
+    setup.known.push(entry("w1", late.addr, "SERVING"));
+    discovery.change(setup.known[1].clone());
+    let mut setup = patient(setup);
+    let class = &mut setup.settings["Classes"][0];
+    (class["Effect"], class["Group"], class["Window"]) = (json!("deduplicated"), json!("zone"), json!(4.0));
+    // A copy goes out after a part of the aim, and is of use past that.
+    (class["Slo"], class["LateWorth"]) = (json!(1.0), json!(0.1));
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&ask("keyed").with("Idempotency-Key", "k"));
+    late.awaited(1);
+    well.request();
+    (setup, node, client, discovery)
+}
+
+#[test]
+fn a_copy_whose_connection_has_not_come_up_by_the_end_of_the_window_of_repeats_is_given_up() {
+    let (late, well) = (Late::start(), Worker::start(Does::Holds));
+    let (_setup, _node, _client, _discovery) = copied(&late, &well);
+    late.given_up();
+    assert_eq!(well.rest().len(), 0);
+}
+
+#[test]
+fn a_connection_that_comes_up_with_the_end_of_the_window_of_repeats_carries_no_copy() {
+    let (late, gate) = (Late::start(), Arc::new(Gate::default()));
+    let well = Worker::start(Does::Waits(gate.clone()));
+    let sent = Instant::now();
+    let (setup, node, mut client, _discovery) = copied(&late, &well);
+    let mut opened = None;
+    node.reload_while(&setup.config().to_string(), || {
+        opened = Some(late.open_to_one(Does::Serves("late")));
+        std::thread::sleep(Duration::from_secs(5).saturating_sub(sent.elapsed()));
+    });
+    // The process has found both at once.
+    node.says("reload: discovery at");
+    gate.open();
+    assert_eq!(client.answer().expect("a whole answer").body, b"waited");
+    assert_eq!(opened.expect("set above").rest().len(), 0);
+}
+
 #[test]
 fn an_attempt_that_waits_for_its_connection_goes_elsewhere_when_its_worker_may_have_nothing_new() {
     for news in ["DRAINING", "DELETED", "restarted", "by hand"] {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -242,6 +242,21 @@
     }
 }
 
+/// How many wait for a connection to `addr`, as the system tells.
+fn waiting(addr: SocketAddr) -> usize {
+    let to = format!("0100007F:{:04X} 02", addr.port());
+    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of sockets");
+    sockets.lines().filter(|l| l.split_once(": ").is_some_and(|(_, l)| l[14..].starts_with(&to))).count()
+}
+
+fn wait_until_waiting(addr: SocketAddr, by: usize) {
+    let start = Instant::now();
+    while waiting(addr) != by {
+        assert!(start.elapsed() < LIMIT, "{} wait for a connection, not {by}", waiting(addr));
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 /// A worker to which no new connection comes up until it opens: its queue of one is taken.
 pub struct Late {
     pub addr: SocketAddr,
@@ -260,29 +275,22 @@
         Self { addr, taken: TcpStream::connect(addr).expect("the one that fits"), listener }
     }
 
-    /// How many wait for a connection to it, as the system tells.
-    fn waiting(&self) -> usize {
-        let to = format!("0100007F:{:04X} 02", self.addr.port());
-        let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the system's table of sockets");
-        sockets.lines().filter(|l| l.split_once(": ").is_some_and(|(_, l)| l[14..].starts_with(&to))).count()
-    }
-
-    fn wait_until(&self, waiting: usize) {
-        let start = Instant::now();
-        while self.waiting() != waiting {
-            assert!(start.elapsed() < LIMIT, "{} wait for a connection, not {waiting}", self.waiting());
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-
     /// Waits until so many wait for a connection.
     pub fn awaited(&self, by: usize) {
-        self.wait_until(by);
+        wait_until_waiting(self.addr, by);
     }
 
     /// Waits until nobody waits for a connection any more, though none has come up.
     pub fn given_up(&self) {
-        self.wait_until(0);
+        wait_until_waiting(self.addr, 0);
+    }
+
+    /// Lets the one that waits come up, and waits until it has.
+    pub fn open_to_one(self, does: Does) -> Worker {
+        assert_eq!(waiting(self.addr), 1, "wait for a connection");
+        let worker = self.open(does);
+        wait_until_waiting(worker.addr, 0);
+        worker
     }
 
     /// Lets connections come up from now on.
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -31,7 +31,7 @@
     fn check(&mut self, now: Time, unsafe_class: bool, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Send { job, server, timeout } => {
+                Action::Send { job, server, timeout, .. } => {
                     assert!(!self.ended.contains(job), "sent after its end");
                     assert!(!self.stopped.contains(server), "sent to a server that drains or is gone");
                     let attempts = self.attempts.entry(job.clone()).or_default();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -77,6 +77,40 @@
     assert_eq!((sends(&out).len(), refused(&out), failed(&out)), (0, 0, 1), "the group has forgotten it");
 }
 
+#[test]
+fn no_attempt_of_a_keyed_request_is_written_past_what_the_servers_remember() {
+    let until = |actions: &[Action]| {
+        let until = |a: &Action| if let Action::Send { until, .. } = a { Some(*until) } else { None };
+        actions.iter().find_map(until).expect("an attempt")
+    };
+    for group in [Group::All, Group::Zone, Group::Cell] {
+        let mut rig = Rig::new(plain(Effect::Keyed { group, window: 1.0 }));
+        let out = rig.ask("j");
+        assert_eq!(until(&out), None, "the first repeats nothing");
+        let (_, first) = sends(&out).remove(0);
+        rig.now += 0.4;
+        // It may have run from when it was sent on; the last one is counted from there, too.
+        let out = rig.outcome("j", 0, &first, Status::Reset);
+        assert_eq!(until(&out), Some(101.0));
+        let (_, second) = sends(&out).remove(0);
+        rig.now += 0.4;
+        assert_eq!(until(&rig.outcome("j", 1, &second, Status::Error)), Some(101.0));
+    }
+    // The one before never ran: there is nothing to be remembered yet.
+    let mut rig = Rig::new(plain(Effect::Keyed { group: Group::Zone, window: 1.0 }));
+    let (_, first) = sends(&rig.ask("j")).remove(0);
+    rig.now += 0.4;
+    let out = rig.outcome("j", 0, &first, Status::ConnectFailed);
+    assert_eq!(until(&out), None);
+    let (_, second) = sends(&out).remove(0);
+    rig.now += 0.4;
+    assert_eq!(until(&rig.outcome("j", 1, &second, Status::Reset)), Some(101.4));
+    // A repeat of a safe one does no harm, whenever it goes out.
+    let mut rig = Rig::new(plain(Effect::Safe));
+    let (_, first) = sends(&rig.ask("j")).remove(0);
+    assert_eq!(until(&rig.outcome("j", 0, &first, Status::Reset)), None);
+}
+
 #[test]
 fn no_second_copy_where_none_is_allowed() {
     let mut s = plain(Effect::Safe);
