Read ahead while a request waits, so that a close behind many bytes is seen

What was seen. A client that sends more than the system holds for us behind its request, or more of its body than its worker takes, and then closes, is not seen to leave: its attempt waits on for a connection and is written. With 400 kB behind the request, and with 400 kB of a body of 4 MB, both tests found the attempt still waiting after 30 s.

The end of input itself: behind less, or behind a body half read, it is seen at once (older tests). Requests held for the counter or for a slot, second copies and further attempts: a test of the module goes through each with the client's leaving in between.

`left` waits for the system's word of a close, which comes only once the bytes before it fit in the system's buffer, and nobody read those while a request was in hand.

Whoever waits for an answer, or for a worker to take a piece of a body, reads on meanwhile, 512 kB at most and while half of the memory for bodies is left, out of which it is counted.

Tests: the two above, seen to fail before; requests and bodies read ahead of their turn go on whole and in order.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -344,7 +344,11 @@
     /// Serves one request after another.
     async fn converse(&self, socket: &mut TcpStream, peer: &Peer) -> End {
         let mut buffer = BytesMut::new();
+        let mut ahead = Room(&self.room, 0);
         loop {
+            if buffer.is_empty() {
+                ahead = Room(&self.room, 0);
+            }
             let head = match self.head(socket, &mut buffer, peer).await {
                 Ok(head) => head,
                 Err(end) => return end,
@@ -360,8 +364,16 @@
                     return end;
                 }
             };
-            let mut exchange =
-                Exchange { clients: self, socket, buffer: &mut buffer, peer, room, rest: None, cut: false };
+            let mut exchange = Exchange {
+                clients: self,
+                socket,
+                buffer: &mut buffer,
+                ahead: &mut ahead,
+                peer,
+                room,
+                rest: None,
+                cut: false,
+            };
             let (reply, taken) = match demand {
                 Err(status) => {
                     exchange.rest = body.rest();
@@ -590,19 +602,21 @@
 }
 
 /// One request and its answer on a connection.
-struct Exchange<'a> {
-    clients: &'a Clients,
+struct Exchange<'a, 'c> {
+    clients: &'c Clients,
     socket: &'a mut TcpStream,
     buffer: &'a mut BytesMut,
+    /// What the buffer takes of the memory for bodies.
+    ahead: &'a mut Room<'c>,
     peer: &'a Peer,
-    room: Room<'a>,
+    room: Room<'c>,
     /// What has not come yet of a body that nobody wants any more.
     rest: Option<Body>,
     /// The answer was cut short: nothing more may be said on the connection.
     cut: bool,
 }
 
-impl Exchange<'_> {
+impl Exchange<'_, '_> {
     /// Hands the request over and waits for the final answer, passing on a large body meanwhile.
     async fn serve(&mut self, mut demand: Demand, body: Gathered, expects: bool) -> Result<Reply, End> {
         let hub = &self.clients.hub;
@@ -664,6 +678,7 @@
             let full = upload.piece.len() >= stream::PIECE;
             let word =
                 if upload.piece.is_empty() { None } else { Some(Piece::Data(upload.piece.split().freeze())) };
+            let before = self.buffer.len();
             for word in word.into_iter().chain(whole.then_some(Piece::End)) {
                 self.peer.now(Stage::Busy);
                 let held = Instant::now();
@@ -674,7 +689,7 @@
                         self.rest = (!whole).then_some(upload.rest);
                         return Ok(Some(answer));
                     }
-                    () = left(self.socket) => return Err(End::Close),
+                    () = self.left() => return Err(End::Close),
                     sent = upload.pieces.send(word) => sent,
                 };
                 self.peer.held_up(held);
@@ -687,7 +702,7 @@
             if whole {
                 return Ok(None);
             }
-            if full && !self.buffer.is_empty() {
+            if full && !self.buffer.is_empty() || self.buffer.len() > before {
                 continue;
             }
             self.peer.stage.set(Stage::Body);
@@ -702,14 +717,39 @@
         }
     }
 
-    /// Waits for the final answer; an end where the client went before. What comes behind the request waits in
-    /// the socket. A lost branch loses nothing: the answer stays with the receiver, a close with the socket.
+    /// Waits for the final answer; an end where the client went before. A lost branch loses nothing: the answer
+    /// stays with the receiver, a close with the socket, and what was read with the buffer.
     async fn wait(&mut self, receiver: &mut oneshot::Receiver<Answer>) -> Result<Final, End> {
         tokio::select! {
             biased;
             answer = receiver => Ok(answer),
-            () = left(self.socket) => Err(End::Close),
+            () = self.left() => Err(End::Close),
+        }
+    }
+
+    /// Waits until the client has left. What it sends behind its request, or ahead of what its body's way takes, is
+    /// read meanwhile, within a bound: the system holds only so much, and tells no close that stands behind more.
+    async fn left(&mut self) {
+        while self.buffer.len() + stream::PIECE <= MAX_GATHERED && self.clients.plenty(stream::PIECE) {
+            tokio::select! {
+                biased;
+                () = left(self.socket) => return,
+                ready = self.socket.readable() => if ready.is_err() { return },
+            }
+            let wanted = self.buffer.len() + stream::PIECE;
+            if wanted > self.ahead.1 {
+                let Some(more) = self.clients.take_room(wanted - self.ahead.1) else { break };
+                self.ahead.join(more);
+            }
+            self.buffer.reserve(stream::PIECE);
+            match self.socket.try_read_buf(self.buffer) {
+                Ok(0) => return,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
         }
+        left(self.socket).await;
     }
 
     /// Writes the answer; how the request ended for the client, `None` where that has gone.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod fakes;
 use fakes::*;
 use serde_json::json;
+use socket2::SockRef;
 use std::{
     io::{BufReader, Write},
     net::{Shutdown, TcpListener},
@@ -60,6 +61,41 @@
     late.given_up();
 }
 
+#[test]
+fn a_client_that_leaves_behind_more_than_the_system_holds_is_seen_to_leave() {
+    let late = Late::start();
+    let (setup, _discovery) = only(&late);
+    let node = setup.start();
+    let mut client = node.client();
+    let pieces = client.reader.get_ref().try_clone().expect("a socket");
+    // The close stands behind what the client's own system holds for ours.
+    SockRef::from(&pieces).set_send_buffer_size(1 << 20).expect("a socket");
+    drop(pieces);
+    client.send(&ask("first"));
+    late.awaited(1);
+    for i in 0..40 {
+        client.send(&ask(&format!("p{i}")).with("X-Other", &"x".repeat(10_000)));
+    }
+    drop(client);
+    late.given_up();
+}
+
+#[test]
+fn requests_read_ahead_of_their_turn_are_answered_in_it() {
+    let late = Late::start();
+    let (setup, _discovery) = only(&late);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&ask("first"));
+    late.awaited(1);
+    for i in 0..40 {
+        client.send(&ask(&format!("p{i}")).with("X-Other", &"x".repeat(10_000)));
+    }
+    let worker = late.open(Does::Serves("ok"));
+    (0..41).for_each(|i| assert_eq!(client.answer().expect("a whole answer").status(), 200, "{i}"));
+    assert_eq!(worker.rest().len(), 41);
+}
+
 #[test]
 fn a_client_that_leaves_while_its_body_waits_for_a_connection_is_seen_to_leave() {
     let late = Late::start();
@@ -75,6 +111,38 @@
     late.given_up();
 }
 
+#[test]
+fn a_client_that_leaves_behind_more_of_its_body_than_the_system_holds_is_seen_to_leave() {
+    let late = Late::start();
+    let (setup, _discovery) = only(&late);
+    let node = setup.start();
+    let mut client = node.client();
+    let pieces = client.reader.get_ref().try_clone().expect("a socket");
+    SockRef::from(&pieces).set_send_buffer_size(1 << 20).expect("a socket");
+    drop(pieces);
+    let mut upload = Ask::submit("body").with("X-Remaining", "100.0").with("Content-Length", "4000000");
+    upload.body = vec![b'x'; 400_000];
+    client.send(&upload);
+    late.awaited(1);
+    drop(client);
+    late.given_up();
+}
+
+#[test]
+fn a_body_read_ahead_of_its_worker_goes_on_whole() {
+    let late = Late::start();
+    let (setup, _discovery) = only(&late);
+    let node = setup.start();
+    let mut client = node.client();
+    let mut upload = Ask::submit("body").with("X-Remaining", "100.0");
+    upload.body = (0..900_000u32).map(|i| (i % 251) as u8).collect();
+    client.send(&upload);
+    late.awaited(1);
+    let worker = late.open(Does::Serves("ok"));
+    assert_eq!(client.answer().expect("a whole answer").status(), 200);
+    assert!(worker.request().1.body == upload.body, "unchanged");
+}
+
 #[test]
 fn a_close_that_comes_with_the_request_lets_nothing_go_on() {
     let late = Late::start();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -111,6 +111,57 @@
     assert_eq!(until(&rig.outcome("j", 0, &first, Status::Reset)), None);
 }
 
+#[test]
+fn nothing_goes_out_for_a_client_that_has_left_whatever_it_waited_for() {
+    let left = |rig: &mut Rig, job: &str| {
+        let out = rig.event(Event::Left { job: job.into() });
+        assert!(sends(&out).is_empty() && refused(&out) + failed(&out) == 0, "nothing is owed");
+    };
+    let timers = |out: &[Action]| -> Vec<(u64, Time)> {
+        let timer = |a: &Action| if let Action::Timer { token, at } = a { Some((*token, *at)) } else { None };
+        out.iter().filter_map(timer).collect()
+    };
+    // The counter's answer, or the end of the wait for it, in either order.
+    for late in [false, true] {
+        let mut s = settings();
+        (s.plans[0].ceiling_rate, s.plans[0].ceiling_burst) = (20.0, 40.0);
+        let mut rig = Rig::new(s);
+        let out = rig.ask("j");
+        let (counter, amount) = counts(&out)[0];
+        left(&mut rig, "j");
+        if late {
+            let (token, at) = timers(&out)[0];
+            rig.now = at;
+            assert!(sends(&rig.event(Event::Timer { token })).is_empty());
+        }
+        assert!(sends(&rig.counted(counter, Status::Ok, amount)).is_empty());
+    }
+    // A slot under the cap.
+    let mut s = plain(Effect::Safe);
+    s.plans = vec![plan(10.0, 20.0)];
+    (s.plans[0].open, s.gateways, s.has_counter) = (1, 1, false);
+    let mut rig = Rig::new(s);
+    let (_, server) = sends(&rig.ask("first")).remove(0);
+    let out = rig.ask("waits");
+    assert!(sends(&out).is_empty() && refused(&out) == 0, "it waits for the slot");
+    left(&mut rig, "waits");
+    assert!(sends(&rig.outcome("first", 0, &server, Status::Ok)).is_empty());
+    for (token, at) in timers(&out) {
+        rig.now = at;
+        assert!(sends(&rig.event(Event::Timer { token })).is_empty());
+    }
+    // A second copy, and a further attempt.
+    let mut rig = Rig::new(plain(Effect::Safe));
+    let out = rig.ask("j");
+    let (_, server) = sends(&out).remove(0);
+    left(&mut rig, "j");
+    for (token, at) in timers(&out) {
+        rig.now = at;
+        assert!(sends(&rig.event(Event::Timer { token })).is_empty());
+    }
+    assert!(sends(&rig.outcome("j", 0, &server, Status::Reset)).is_empty());
+}
+
 #[test]
 fn no_second_copy_where_none_is_allowed() {
     let mut s = plain(Effect::Safe);
