Give each call to discovery one clock, so that news is asked for within 6 s of any fault

In the tests a watch that falls silent was asked for again after 5.56 s where lists are pushed, which leaves 0.44 s for a connection, and after 8.5 s and more where they are asked for; one whose next connection never comes up after 4.6 s (asked) and 8.7 s (350 gateways).

The node's back-off, 0.2 s at most.

In the node, the connect limit and the patience were added to the hold (4 s + 1.5 s, or 4.5 s where lists are asked for). In the module, the turn for the next call was drawn from up to 8 s at first and up to four times that later, for a single gateway's fault as for the start of all.

A call has one clock from its begin, connecting included: a watch 2.5 s of hold and 0.8 s more, a question on a new connection 2.5 s, and it asks for no hold, so it is answered at once or after its turn in the line. The turn after a fault lies within 1 s, at the start within 3 s; while calls go on failing it grows to 2 s, or to the span that gives every gateway of a large fleet its turn, as the line would not empty otherwise.

--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -13,16 +13,21 @@
 use tokio::{
     sync::watch,
     task::yield_now,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use weirusher::{Lifecycle, ListKind, Server};
 
-/// How long discovery may hold a watch: short, as what it could not tell counts as told soon after.
-const HOLD: Duration = Duration::from_secs(4);
-/// How long past that an answer is waited for: a silent agent is asked again on a new connection.
-const PATIENCE: Duration = Duration::from_millis(1500);
-/// How much longer, where calls wait their turn: giving up there costs another turn.
-const TURN: Duration = Duration::from_secs(3);
+/// How long discovery may hold a watch, from the call's begin on. Whatever becomes of a call, a change counts as told
+/// 6 s after discovery had it: the hold, the patience past it, the pause or the module's turn (1 s) and a connection
+/// that comes up late have to fit in that.
+const HOLD: Duration = Duration::from_millis(2500);
+/// How long past that an answer is waited for to its end: a silent agent is asked again on a new connection.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// How long a call on a new connection takes at most, that included. It asks for no hold, but where one service takes
+/// the calls of all in turn it may wait for 2 s in its line, and giving up there costs another turn.
+const FIRST: Duration = Duration::from_millis(2500);
+/// How much of that a connection may take to come up.
+const CONNECT: Duration = Duration::from_millis(1500);
 /// First and longest wait after a failed call: what the agent learns at its return counts as told at once, and the
 /// grace after that is half a second.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
@@ -55,7 +60,6 @@
 /// own, so it is asked for the whole list.
 pub async fn follow(mut place: watch::Receiver<SocketAddr>, hub: Rc<Hub>) {
     let must_ask = hub.config().options.settings.must_ask;
-    let patience = PATIENCE + if must_ask { TURN } else { Duration::ZERO };
     // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
     let known = must_ask.then_some(hub.config().version);
     let (mut link, mut version, mut wait, mut trouble) = (None, known, BACKOFF.0, None);
@@ -79,7 +83,7 @@
         }
         let begun = Trace::default();
         let answer = {
-            let mut call = pin!(call(addr, &mut link, version, hub.config().list_bound(), patience, &begun));
+            let mut call = pin!(call(addr, &mut link, version, hub.config().list_bound(), &begun));
             // A lost branch loses nothing: the call goes on below, and a move stays in `place`.
             tokio::select! {
                 answer = &mut call => Some(answer),
@@ -141,27 +145,31 @@
     }
 }
 
+/// One call: a watch on the connection that is kept, where there is one, else a question on a new connection that is
+/// answered at once. It has one clock for all its stages.
 async fn call(
     addr: SocketAddr,
     kept: &mut Option<Link>,
     version: Option<u64>,
     most: usize,
-    patience: Duration,
     begun: &Trace,
 ) -> Result<List, Fault> {
-    let mut link = match kept.take().and_then(|mut link| link.ready().then_some(link)) {
+    let kept_on = kept.take().and_then(|mut link| link.ready().then_some(link));
+    let hold = if kept_on.is_some() && version.is_some() { HOLD } else { Duration::ZERO };
+    let limit = Instant::now() + if hold.is_zero() { FIRST } else { HOLD + PATIENCE };
+    let mut link = match kept_on {
         Some(link) => link,
-        None => Link::open(addr, patience).await.map_err(|_| Fault::Connect)?,
+        None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
     };
     *begun.borrow_mut() = Some(link.progress());
-    let (path, hold) = match version {
-        Some(v) => (format!("/discovery/hosts?from={v}&hold_ms={}", HOLD.as_millis()), HOLD),
-        None => ("/discovery/hosts".to_owned(), Duration::ZERO),
+    let path = match version {
+        Some(v) => format!("/discovery/hosts?from={v}&hold_ms={}", hold.as_millis()),
+        None => "/discovery/hosts".to_owned(),
     };
     let mut request = Request::new(Outgoing::Whole(None));
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-    let answer = timeout(hold + patience, link.exchange(request, None, most, &|_, _| None)).await;
+    let answer = timeout_at(limit, link.exchange(request, None, most, &|_, _| None)).await;
     let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?;
     if parts.status != StatusCode::OK {
         return Err(Fault::Status(parts.status));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -104,10 +104,12 @@
 
 /// Seconds that each gateway adds to the span over which all spread their first calls for the list.
 const ASK_TURN: f64 = 0.05;
-/// While calls fail this span grows to so many times that, or so many seconds: a small fleet's hurt nobody.
-const ASK_MOST: (f64, f64) = (8.0, 2.0);
-/// Share that it may wait of the time after which a gateway that has not asked counts as told; after a call
-/// that failed that is four times as long.
+/// Seconds that this span has at most at the start, and after a call that failed: whatever became of that,
+/// news counts as told 6 s after the service had it.
+const ASK_FIRST: (f64, f64) = (3.0, 1.0);
+/// While calls fail it grows to the span that gives every gateway its turn, or so many seconds.
+const ASK_MOST: f64 = 2.0;
+/// Share that it may wait of the time after which a gateway that has not asked counts as told.
 const ASK_SHARE: f64 = 0.8;
 
 /// Where an attempt stands, as far as rule two cares.
@@ -446,10 +448,10 @@
     // ---- Servers: the list, health, choice ----
 
     fn list(&mut self, kind: ListKind, servers: Vec<Server>) {
-        if matches!(kind, ListKind::Stale | ListKind::Failed) {
-            self.ask_list();
-        } else {
-            self.ask_span = 0.0;
+        match kind {
+            ListKind::Stale => self.ask_list(ASK_FIRST.0),
+            ListKind::Failed => self.ask_list(ASK_FIRST.1),
+            _ => self.ask_span = 0.0,
         }
         if kind == ListKind::Stale {
             self.set_timer(self.now + FORGET.1, Due::Sweep);
@@ -477,15 +479,15 @@
     /// at once fill its line; there they wait in vain, are called anew and fill it again. So each calls at a
     /// moment of its own, within a span that gives every gateway its turn, and while calls fail within one
     /// twice as long: the line empties.
-    fn ask_list(&mut self) {
+    fn ask_list(&mut self, first: f64) {
         if !self.set.must_ask {
             return;
         }
         let turns = ASK_TURN * f64::from(self.set.gateways);
         let told = ASK_SHARE * self.set.must_ask_in;
         self.ask_span = match self.ask_span {
-            0.0 => turns.min(told),
-            span => (2.0 * span).min((ASK_MOST.0 * turns).max(ASK_MOST.1)).min(4.0 * told),
+            0.0 => turns.min(first).min(told),
+            span => (2.0 * span).min(turns.max(ASK_MOST)),
         };
         let at = self.now + self.draw() * self.ask_span;
         self.set_timer(at, Due::Watch);
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -249,7 +249,8 @@
     sockets.lines().filter(|l| l.split_once(": ").is_some_and(|(_, l)| l[14..].starts_with(&to))).count()
 }
 
-fn wait_until_waiting(addr: SocketAddr, by: usize) {
+/// Waits until so many wait for a connection to `addr`.
+pub fn wait_until_waiting(addr: SocketAddr, by: usize) {
     let start = Instant::now();
     while waiting(addr) != by {
         assert!(start.elapsed() < LIMIT, "{} wait for a connection, not {by}", waiting(addr));
@@ -268,6 +269,8 @@
     pub fn start() -> Self {
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
         let nowhere: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        // So that a test may close it and listen there anew.
+        socket.set_reuse_address(true).expect("a socket");
         socket.bind(&nowhere.into()).expect("a free port");
         socket.listen(0).expect("a listener");
         let listener: TcpListener = socket.into();
@@ -293,6 +296,13 @@
         worker
     }
 
+    /// Lets connections come up from now on, and accepts none itself.
+    pub fn listen(self) -> TcpListener {
+        drop(self.taken);
+        self.listener.accept().expect("the one that fitted");
+        self.listener
+    }
+
     /// Lets connections come up from now on.
     pub fn open(self, does: Does) -> Worker {
         drop(self.taken);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -184,7 +184,7 @@
 
 #[test]
 fn gateways_that_start_together_do_not_fill_the_line_of_the_service_that_tells_the_list() {
-    for n in [1, 3, 12, 100] {
+    for n in [1, 3, 12, 30, 100] {
         let (last, calls) = told(n);
         assert!(last <= 0.1 * f64::from(n).max(3.0), "{n} gateways: the last is told after {last} s");
         assert!(calls <= 2 * n as usize, "{n} gateways: {calls} calls");
