--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -368,18 +368,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// The module asks for no probe today, so no test of the whole program reads a report.
-    #[test]
-    fn a_report_is_read_under_either_name_and_garbage_is_left_out() {
-        let load = report("TEXT inflight=7, queue=2, util=0.61");
-        assert_eq!((load.inflight, load.util), (Some(7.0), Some(0.61)));
-        let load = report("busy_reqs=3,cpu_share=NaN");
-        assert_eq!((load.inflight, load.util), (Some(3.0), None));
-        let wild = "inflight=-1, util=1e300";
-        assert_eq!(report(wild), Load::default());
-        assert_eq!(report("util=much = more"), Load::default());
-    }
-}
+#[path = "../../../tests/unit/workers.rs"]
+mod tests;
