--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -415,6 +415,7 @@
     /// The version that each watch starts from.
     watches: Receiver<u64>,
     known: Arc<(Mutex<Known>, Condvar)>,
+    tell: Sender<u64>,
 }
 
 pub fn entry(id: &str, addr: SocketAddr, state: &str) -> Value {
@@ -422,53 +423,62 @@
         "weight": 1.0, "started_ms": 0})
 }
 
+/// Answers calls for a list, and tells of each.
+fn serve_list(listener: TcpListener, shared: Arc<(Mutex<Known>, Condvar)>, tell: Sender<u64>) {
+    accept(listener, move |mut socket, _| {
+        let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+        while let Some(message) = read_message(&mut reader) {
+            let from = message.line.split_once("from=").map(|(_, rest)| {
+                rest.split(['&', ' ']).next().and_then(|v| v.parse::<u64>().ok()).expect("a version")
+            });
+            let _ = tell.send(from.unwrap_or(0));
+            let (known, changed) = &*shared;
+            let guard = known.lock().expect("no panic inside");
+            // Held for a second at most, whatever was asked: a shorter wait is allowed.
+            let wait =
+                |k: &mut Known| k.silent || (k.overbooked == 0 && !k.garbage && from == Some(k.version));
+            let (mut known, _) =
+                changed.wait_timeout_while(guard, Duration::from_secs(1), wait).expect("no panic inside");
+            if known.overbooked > 0 {
+                known.overbooked -= 1;
+                drop(known);
+                let _ = socket.write_all(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            if known.silent {
+                drop(known);
+                let _ = reader.read(&mut [0]);
+                return;
+            }
+            let newer = known.entries.iter().filter(|(v, _)| from.is_none_or(|from| *v > from));
+            let servers: Vec<&Value> = newer.map(|(_, e)| e).collect();
+            let list = json!({"version": known.version, "full": from.is_none(), "servers": servers});
+            let body = if known.garbage { "{\"version\":".to_owned() } else { list.to_string() };
+            drop(known);
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let _ = socket.write_all(answer.as_bytes());
+        }
+    });
+}
+
 impl Discovery {
     pub fn start(entries: &[Value]) -> Self {
         let (listener, addr) = listen();
         let known = Arc::new((Mutex::new(Known::default()), Condvar::new()));
         let (tell, watches) = channel();
-        let shared = known.clone();
-        accept(listener, move |mut socket, _| {
-            let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
-            while let Some(message) = read_message(&mut reader) {
-                let from = message.line.split_once("from=").map(|(_, rest)| {
-                    rest.split(['&', ' ']).next().and_then(|v| v.parse::<u64>().ok()).expect("a version")
-                });
-                let _ = tell.send(from.unwrap_or(0));
-                let (known, changed) = &*shared;
-                let guard = known.lock().expect("no panic inside");
-                // Held for a second at most, whatever was asked: a shorter wait is allowed.
-                let wait =
-                    |k: &mut Known| k.silent || (k.overbooked == 0 && !k.garbage && from == Some(k.version));
-                let (mut known, _) =
-                    changed.wait_timeout_while(guard, Duration::from_secs(1), wait).expect("no panic inside");
-                if known.overbooked > 0 {
-                    known.overbooked -= 1;
-                    drop(known);
-                    let _ = socket.write_all(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n");
-                    continue;
-                }
-                if known.silent {
-                    drop(known);
-                    let _ = reader.read(&mut [0]);
-                    return;
-                }
-                let newer = known.entries.iter().filter(|(v, _)| from.is_none_or(|from| *v > from));
-                let servers: Vec<&Value> = newer.map(|(_, e)| e).collect();
-                let list = json!({"version": known.version, "full": from.is_none(), "servers": servers});
-                let body = if known.garbage { "{\"version\":".to_owned() } else { list.to_string() };
-                drop(known);
-                let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-                let _ = socket.write_all(answer.as_bytes());
-            }
-        });
-        let discovery = Self { addr, watches, known };
+        serve_list(listener, known.clone(), tell.clone());
+        let discovery = Self { addr, watches, known, tell };
         for entry in entries {
             discovery.change(entry.clone());
         }
         discovery
     }
 
+    /// Serves the same list on another socket.
+    pub fn also_on(&self, listener: TcpListener) {
+        serve_list(listener, self.known.clone(), self.tell.clone());
+    }
+
     fn with(&self, change: impl FnOnce(&mut Known)) {
         change(&mut self.known.0.lock().expect("no panic inside"));
         self.known.1.notify_all();
@@ -540,6 +550,8 @@
     pub socket: Option<&'a TcpListener>,
     /// The folder that it shares with others of its name.
     pub folder: Option<&'a Path>,
+    /// The system gives it so many descriptors, and no more.
+    pub descriptors: Option<usize>,
 }
 
 /// Starts the program on a file of its own that holds `config`.
@@ -559,6 +571,10 @@
         command = Command::new("sh");
         command.args(["-c", "exec 3<&0 </dev/null; exec \"$0\"", program]).env("NODE_ACCEPT_FD", "3");
         command.stdin(OwnedFd::from(socket.try_clone().expect("a socket")));
+    } else if let Some(most) = start.descriptors {
+        command = Command::new("sh");
+        command.args(["-c", "ulimit -n \"$1\"; exec \"$0\"", program, &most.to_string()]);
+        command.stdin(Stdio::null());
     } else {
         command.stdin(Stdio::null());
     }
@@ -623,7 +639,11 @@
         self.start_as(Start::default())
     }
 
-    /// The same with more to inherit.
+    /// Starts the program and waits for nothing.
+    pub fn begin(&self) -> (Child, PathBuf) {
+        run(&self.config().to_string())
+    }
+
     pub fn start_as(&self, start: Start) -> Node {
         self.start_on(&self.config().to_string(), start)
     }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -220,7 +220,8 @@
 
 /// Two processes of one node, the second started while the first is at work.
 fn upgrade<'a>(setup: &Setup, socket: &'a TcpListener, folder: &'a Folder) -> (Node, Node) {
-    let start = || setup.start_as(Start { socket: Some(socket), folder: Some(&folder.0) });
+    let start =
+        || setup.start_as(Start { socket: Some(socket), folder: Some(&folder.0), ..Start::default() });
     let old = start();
     while old.call("GET /healthcheck").status() != 200 {}
     let new = start();
@@ -247,7 +248,7 @@
     old.says("by hand: worker w0 back");
     assert_eq!(new.call("PUT /workers/w1/maint").status(), 200);
     std::fs::write(folder.0.join("yardspur-n0.out.json"), "{").expect("a folder");
-    let third = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0) });
+    let third = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
     old.says("one of 3");
     assert_eq!(third.call("GET /stats").status(), 200);
     drop((old, new));
@@ -263,7 +264,8 @@
     let worker = Worker::start(Does::Serves("ok"));
     let (setup, _discovery) = operated(&[&worker]);
     let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("drained"));
-    let start = || setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0) });
+    let start =
+        || setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
     let mut old = start();
     let mut kept: Vec<Client> = (0..10).map(|_| old.client()).collect();
     for (i, client) in kept.iter_mut().enumerate() {
@@ -293,7 +295,7 @@
     old.says("one of 1");
     (0..20).for_each(|i| assert_eq!(old.ask(&Ask::new(&format!("a{i}"))).status(), 200));
     // And the next attempt finds it.
-    let _next = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0) });
+    let _next = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
     old.says("one of 2");
 }
 
