--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -63,7 +63,7 @@
     let mut dice = Dice(fastrand::Rng::with_seed(seed));
     let list = |started: Time| -> Vec<Server> {
         let server = |i: u32| {
-            let started = if i.is_multiple_of(day.every) { started } else { 0.0 };
+            let started = if i % day.every == 0 { started } else { 0.0 };
             server(&format!("s{i:03}"), Lifecycle::Running, started)
         };
         (0..day.servers).map(server).collect()
@@ -95,7 +95,7 @@
                 for attempt in 0.. {
                     let Some((job, server)) = sends(&out).pop() else { break };
                     let place: u32 = server[1..].parse().expect("its number");
-                    let cold = place.is_multiple_of(day.every);
+                    let cold = place % day.every == 0;
                     if cold && now >= told[i] {
                         sent.entry(server.clone()).or_default().push(now);
                     }
