--- /dev/null
+++ b/tests/quota.rs
@@ -0,0 +1,193 @@
+//! What a whole fleet lets through beyond its customers' quotas on a quiet day, in sum, and what that costs. The operators
+//! allow 0.1 more than a policy pays that sees the true state late; as no page says how late, that is taken to pay
+//! nothing here.
+
+mod common;
+use common::*;
+use std::collections::BTreeMap;
+use weirusher::*;
+
+const SECONDS: f64 = 12.0;
+const STEP: f64 = 0.002;
+/// What the counter bears: calls a second, the way there and back, and when it turns calls away.
+const CALLS: f64 = 1000.0;
+const WAY: f64 = 0.003;
+const LINE: f64 = 0.2;
+/// The most that it may cost, as a share of the worth that is asked for inside quotas.
+const MOST: f64 = 0.1;
+
+/// A customer, and its true store: as it would be if one gateway saw all, and as the fleet draws on it.
+struct Customer {
+    id: CustomerId,
+    plan: usize,
+    spread: u32,
+    first: u32,
+    /// Tries a second.
+    rate: f64,
+    /// It asks for so many times as much now and then, from this second of every fifteen on.
+    spike: (f64, f64),
+    alone: (f64, Time),
+    fleet: (f64, Time),
+}
+
+/// Takes `units` from a store where it holds them.
+fn take((level, at): &mut (f64, Time), now: Time, plan: &Plan, units: f64) -> bool {
+    *level = (*level + plan.rate * (now - *at)).min(plan.burst);
+    *at = now;
+    let inside = *level >= units;
+    *level -= if inside { units } else { 0.0 };
+    inside
+}
+
+fn plans() -> Vec<Plan> {
+    let figures = [
+        (1.6, 8.0, 0.55, 0.6, 0.0),
+        (3.2, 14.0, 0.8, 0.0, 0.2),
+        (9.5, 19.0, 1.3, 0.8, 0.0),
+        (24.0, 50.0, 1.4, 1.2, 0.0),
+    ];
+    let plan = |(rate, burst, pays, cost, excess)| {
+        let mut plan = plan(rate, burst);
+        (plan.pays, plan.overrun_cost, plan.excess_worth) = (pays, cost, excess);
+        plan
+    };
+    figures.map(plan).to_vec()
+}
+
+fn customers(n: u32, rng: &mut fastrand::Rng) -> Vec<Customer> {
+    let plans = plans();
+    // Each gateway sees some 14 requests of 2.5 units a second.
+    let (mut left, mut all) = (14.0 * f64::from(n), Vec::new());
+    while left > 0.0 {
+        let plan = rng.usize(0..plans.len());
+        // Most use a part of their quota, some nearly all of it, some ask for far more.
+        let usage = match rng.u32(0..100) {
+            0..10 => 1.9 + 2.0 * rng.f64(),
+            10..27 => 0.95,
+            _ => 0.18 + 0.21 * rng.f64(),
+        };
+        let rate = usage * plans[plan].rate / 2.5;
+        left -= rate;
+        let (spread, first) = (1.max((f64::from(n) * (0.5 + 0.5 * rng.f64())) as u32), rng.u32(0..n));
+        let spike = (if rng.u32(0..100) < 16 { 5.0 } else { 1.0 }, 15.0 * rng.f64());
+        let (alone, fleet) = ((plans[plan].burst, 100.0), (plans[plan].burst, 100.0));
+        let id = format!("c{}", all.len()).into();
+        all.push(Customer { id, plan, spread, first, rate, spike, alone, fleet });
+    }
+    all
+}
+
+/// What `n` gateways pay for what they send beyond quotas, as a share of the worth that is asked for inside them, and the
+/// share of that worth which they send.
+fn over_quota(n: u32) -> (f64, f64) {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut customers = customers(n, &mut rng);
+    let mut s = settings();
+    (s.plans, s.gateways, s.max_units, s.count_limit) = (plans(), n, 4.0, 0.08);
+    let servers: Vec<Server> =
+        (0..9.max(n * 2 / 3)).map(|i| server(&format!("s{i:03}"), Lifecycle::Running, 0.0)).collect();
+    let mut rigs: Vec<Rig> = (0..n)
+        .map(|me| {
+            let mut s = s.clone();
+            s.me = me;
+            let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
+            let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
+            rig.list(ListKind::Stale, servers.clone());
+            rig
+        })
+        .collect();
+    let mut asked: BTreeMap<JobId, (usize, f64)> = BTreeMap::new();
+    let (mut counts, mut free): (BTreeMap<u64, f64>, f64) = (BTreeMap::new(), 100.0);
+    // What is due, in order: a call's answer, an attempt's, a timer.
+    let mut due: BTreeMap<(u64, u64), (usize, Event)> = BTreeMap::new();
+    let (mut number, mut paid, mut served, mut offered) = (0, 0.0, 0.0, 0.0);
+    let (mut now, mut turn): (f64, u64) = (100.0, 0);
+    while now < 100.0 + SECONDS {
+        let mut out: Vec<(usize, Action)> = Vec::new();
+        while let Some(first) = due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
+            let (i, event) = first.remove();
+            rigs[i].now = now;
+            out.extend(rigs[i].event(event).into_iter().map(|a| (i, a)));
+        }
+        for c in 0..customers.len() {
+            let customer = &mut customers[c];
+            let (times, from) = customer.spike;
+            let spikes = (from..from + 2.0).contains(&((now - 100.0) % 15.0));
+            if rng.f64() >= customer.rate * STEP * if spikes { times } else { 1.0 } {
+                continue;
+            }
+            number += 1;
+            let (plan, units) = (&s.plans[customer.plan], f64::from(rng.u32(1..=4)));
+            offered += if take(&mut customer.alone, now, plan, units) { units * plan.pays } else { 0.0 };
+            // Uneven: a third of a customer's tries come in by the first of its gateways.
+            let place = if rng.u32(0..3) == 0 { 0 } else { rng.u32(0..customer.spread) };
+            let i = ((customer.first + place) % n) as usize;
+            let mut request = request(&format!("j{number}"), now);
+            (request.units, request.plan, request.spread) = (units, customer.plan, customer.spread);
+            (request.first, request.customer) = (customer.first, customer.id.clone());
+            asked.insert(request.job.clone(), (c, units));
+            rigs[i].now = now;
+            out.extend(rigs[i].event(Event::Request(request)).into_iter().map(|a| (i, a)));
+        }
+        for (i, action) in out {
+            turn += 1;
+            let (at, event) = match action {
+                Action::Send { job, server, .. } => {
+                    if let Some((c, units)) = asked.remove(&job) {
+                        let customer = &mut customers[c];
+                        let plan = &s.plans[customer.plan];
+                        if take(&mut customer.fleet, now, plan, units) {
+                            served += units * plan.pays;
+                        } else {
+                            paid += plan.overrun_cost * units * plan.pays;
+                        }
+                    }
+                    let (status, load) = (Status::Ok, Load::default());
+                    let (attempt, spent, over, settled) = (0, 0.05, true, None);
+                    (now + 0.05, Event::Outcome { job, attempt, server, status, spent, over, settled, load })
+                }
+                Action::Count { counter, amount, .. } => {
+                    let wait = (free - now).max(0.0);
+                    if wait > LINE {
+                        let (status, total, spent) = (Status::Full, 0.0, WAY);
+                        (now + WAY, Event::Counted { counter, status, total, spent })
+                    } else {
+                        free = now.max(free) + 1.0 / CALLS;
+                        let total = counts.entry(counter).or_default();
+                        *total += amount;
+                        let (total, spent) = (*total, wait + WAY);
+                        let in_time = spent <= s.count_limit;
+                        let (status, at) =
+                            if in_time { (Status::Ok, spent) } else { (Status::Timeout, 0.08) };
+                        (now + at, Event::Counted { counter, status, total, spent: at })
+                    }
+                }
+                Action::Timer { token, at } => (at, Event::Timer { token }),
+                _ => continue,
+            };
+            due.insert((at.to_bits(), turn), (i, event));
+        }
+        rigs.iter_mut().for_each(|rig| rig.actions.clear());
+        now += STEP;
+    }
+    (paid / offered, served / offered)
+}
+
+fn costs(fleets: &[u32]) {
+    for n in fleets {
+        let (cost, share) = over_quota(*n);
+        eprintln!("{n} gateways: {cost:.3} of the worth, {share:.3} sent");
+        assert!(cost <= MOST, "{n} gateways pay {cost:.3} of the worth asked for inside quotas");
+        assert!(share >= 0.5, "{n} gateways send {share:.3} of it");
+    }
+}
+
+#[test]
+fn what_a_small_fleet_sends_beyond_quotas_costs_little() {
+    costs(&[1, 3, 12]);
+}
+
+#[test]
+fn what_a_large_fleet_sends_beyond_quotas_costs_little() {
+    costs(&[30, 100, 300]);
+}
