Let a group of no known name promise no more than the narrowest does

Found by reading the settings for what may run twice elsewhere: a keyed class whose group was missing or of an unknown name was taken for one that every worker knows, so it was repeated anywhere and refused after it may have run. The test fails without the mend.

--- a/src/options.rs
+++ b/src/options.rs
@@ -76,10 +76,11 @@
     class.aim = keys.num("Slo", class.aim)?;
     class.late_worth = keys.num("LateWorth", 0.0)?;
     class.streamed = keys.flag("Streamed");
+    // A group of no known name promises no more than the narrowest does.
     let group = match keys.text("Group") {
+        "all" => Group::All,
         "zone" => Group::Zone,
-        "cell" => Group::Cell,
-        _ => Group::All,
+        _ => Group::Cell,
     };
     class.effect = match keys.text("Effect") {
         "idempotent" => Effect::Safe,
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -41,3 +41,22 @@
     assert!(rig.outcome("never", 0, &"nowhere".into(), Status::Reset).is_empty());
     assert!(rig.event(Event::Left { job: "never".into() }).is_empty());
 }
+
+#[test]
+fn a_group_of_no_known_name_promises_no_more_than_the_narrowest() {
+    let effect = |class: serde_json::Value| {
+        let options = Options::read(&serde_json::json!({ "Classes": [class] })).expect("readable");
+        options.settings.classes[0].effect
+    };
+    let class = |group: &str| serde_json::json!({"Effect": "deduplicated", "Group": group, "Window": 1.5});
+    let keyed = |group| Effect::Keyed { group, window: 1.5 };
+    assert_eq!(effect(class("all")), keyed(Group::All));
+    assert_eq!(effect(class("zone")), keyed(Group::Zone));
+    assert_eq!(effect(class("cell")), keyed(Group::Cell));
+    assert_eq!(effect(class("hall")), keyed(Group::Cell));
+    // Without a window nothing is remembered.
+    assert_eq!(
+        effect(serde_json::json!({"Effect": "deduplicated"})),
+        Effect::Keyed { group: Group::Cell, window: 0.0 }
+    );
+}
