Tell zones apart that the settings do not name

Found by reading for what may run twice elsewhere. Workers of all zones that the settings don't name were taken for workers of one zone, so a keyed request that may have run was repeated in another zone, whose workers don't know it. The test, two such workers, one reset and one repeat, fails without the mend: the repeat was served by the other zone.

--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -9,7 +9,14 @@
     workers::Trace,
 };
 use hyper::{Request, StatusCode, Uri, header};
-use std::{fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     sync::watch,
     task::yield_now,
@@ -188,9 +195,16 @@
         _ => return None,
     };
     let zone = config.options.zones.iter().position(|z| *z == entry.zone);
+    // One that the settings don't name is a zone all the same, and another than the next such: workers of two zones
+    // don't know each other's requests.
+    let other = || {
+        let mut hasher = fnv::FnvHasher::default();
+        entry.zone.hash(&mut hasher);
+        hasher.finish() as u32 | 1 << 31
+    };
     Some(Server {
         id: entry.id.as_str().into(),
-        zone: zone.map_or(u32::MAX, |z| z as u32),
+        zone: zone.map_or_else(other, |z| z as u32),
         cell: entry.cell,
         started: entry.started_ms / 1000.0,
         lifecycle,
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -88,6 +88,34 @@
     }
 }
 
+#[test]
+fn a_repeat_that_only_its_zone_knows_stays_there_also_in_a_zone_that_the_settings_do_not_name() {
+    for (other, status, sent) in [("hall-y", 502, 0), ("hall-x", 200, 1)] {
+        let (first, second) = (Worker::start(Does::Resets), Worker::start(Does::Serves("second")));
+        let (mut setup, discovery) = Setup::new(&[]);
+        let class = &mut setup.settings["Classes"][0];
+        (class["Effect"], class["Group"], class["Window"]) =
+            (json!("deduplicated"), json!("zone"), json!(30.0));
+        for (id, worker, zone) in [("w0", &first, "hall-x"), ("w1", &second, other)] {
+            let mut entry = entry(id, worker.addr, if id == "w0" { "SERVING" } else { "DRAINING" });
+            entry["zone"] = json!(zone);
+            setup.known.push(entry.clone());
+            discovery.change(entry);
+        }
+        let gate = Arc::new(Gate::default());
+        first.now(Does::WaitsAndResets(gate.clone()));
+        let node = setup.start();
+        let mut client = node.client();
+        client.send(&Ask::new("z"));
+        first.request();
+        setup.known[1]["state"] = json!("SERVING");
+        discovery.told(discovery.change(setup.known[1].clone()));
+        gate.open();
+        assert_eq!(client.answer().expect("a whole answer").status(), status, "{other}");
+        assert_eq!(second.rest().len(), sent, "{other}");
+    }
+}
+
 #[test]
 fn what_never_ran_is_sent_again_even_then() {
     let (full, well) = (Worker::start(Does::Says(TURNED_AWAY)), Worker::start(Does::Serves("ok")));
