--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -102,7 +102,7 @@
     expires: Option<Time>,
     deadline: Option<Key>,
     /// From then on none of its attempts may be written.
-    until: Time,
+    dedup_until: Time,
     /// By number; `None` once it has ended.
     attempts: Vec<Option<Attempt>>,
 }
@@ -113,7 +113,7 @@
     Attempt(JobId, u32),
     Deadline(JobId),
     /// The servers may have forgotten the request.
-    Forgotten(JobId),
+    DedupEnd(JobId),
     Count(Rc<Counter>, u64),
 }
 
@@ -366,7 +366,7 @@
             remaining: demand.remaining,
             expires: None,
             deadline: None,
-            until: f64::INFINITY,
+            dedup_until: f64::INFINITY,
             attempts: Vec::new(),
             forward: forward.clone(),
         };
@@ -488,7 +488,9 @@
 
     fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
         match action {
-            Action::Send { job, server, timeout, until } => self.send(now, job, server, timeout, until),
+            Action::Send { job, server, timeout, dedup_until } => {
+                self.send(now, job, server, timeout, dedup_until)
+            }
             Action::Refuse { job, retry_after } => self.answer(&job, Answer::Refused(retry_after)),
             Action::Fail { job } => self.answer(&job, Answer::Failed),
             Action::Cancel { job, attempt } => self.stop(&job, attempt, Status::Cancelled),
@@ -529,7 +531,7 @@
 
     /// Whether an attempt of a request may begin its work: its client waits, and the servers would know a repeat.
     fn may_begin(&self, job: &JobId) -> bool {
-        self.open.borrow().get(job).is_some_and(|o| o.answer.is_some() && self.clock.now() < o.until)
+        self.open.borrow().get(job).is_some_and(|o| o.answer.is_some() && self.clock.now() < o.dedup_until)
     }
 
     /// Winds up a request that is answered, whose client has left, or which the servers may have forgotten. An
@@ -556,7 +558,14 @@
         }
     }
 
-    fn send(self: &Rc<Self>, now: Time, job: JobId, server: ServerId, timeout: f64, until: Option<Time>) {
+    fn send(
+        self: &Rc<Self>,
+        now: Time,
+        job: JobId,
+        server: ServerId,
+        timeout: f64,
+        dedup_until: Option<Time>,
+    ) {
         let mut table = self.open.borrow_mut();
         let target = self.workers.target(&server);
         let Some(open) = table.get_mut(&job) else { return };
@@ -583,9 +592,9 @@
             return self.events.borrow_mut().push_back(event);
         };
         // A body that comes in pieces goes out once at most, and may take its time.
-        if let (Some(until), Content::Whole(_)) = (until, &open.forward.body) {
-            open.until = until;
-            self.set_timer(until, Due::Forgotten(job.clone()));
+        if let (Some(until), Content::Whole(_)) = (dedup_until, &open.forward.body) {
+            open.dedup_until = until;
+            self.set_timer(until, Due::DedupEnd(job.clone()));
         }
         let (hub, trace, forward) = (self.clone(), Trace::default(), open.forward.clone());
         let task = tokio::task::spawn_local({
@@ -648,7 +657,7 @@
             Due::Module(token) => self.post(Event::Timer { token }),
             Due::Attempt(job, number) => self.stop(&job, number, Status::Timeout),
             Due::Count(client, number) => client.expire(self, number),
-            Due::Forgotten(job) => self.wind_up(&job),
+            Due::DedupEnd(job) => self.wind_up(&job),
             // The module answers before: this is the last resort, so that no client waits for nothing.
             Due::Deadline(job) => {
                 let waits = self.open.borrow().get(&job).is_some_and(|o| o.answer.is_some());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -426,7 +426,7 @@
         timeout: f64,
         /// From then on the servers may have forgotten the request and would not discard a repeat, so none of its
         /// attempts may still be written, also one that waits for its connection. `None`: no such time.
-        until: Option<Time>,
+        dedup_until: Option<Time>,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -749,13 +749,13 @@
             Effect::Unsafe => None,
             Effect::Keyed { group, .. } => {
                 let host = self.servers.get(&first.server)?;
-                (self.now < self.remembered(job)?).then_some(Some((group, host.zone, host.cell)))
+                (self.now < self.dedup_until(job)?).then_some(Some((group, host.zone, host.cell)))
             }
         }
     }
 
     /// Until when servers discard repeats of a job: counted from the first attempt that may have run.
-    fn remembered(&self, job: &Job) -> Option<Time> {
+    fn dedup_until(&self, job: &Job) -> Option<Time> {
         let first = job.attempts.iter().find(|a| a.ran != Ran::Never)?;
         let Effect::Keyed { window, .. } = self.set.classes[job.request.class].effect else { return None };
         Some(first.sent + window)
@@ -1144,8 +1144,8 @@
                 customer.open += 1;
             }
             note_demand(&mut self.sent_units, self.now, job.request.units, RATE_MEMORY);
-            let until = self.remembered(&job);
-            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, until });
+            let dedup_until = self.dedup_until(&job);
+            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, dedup_until });
             job.attempts.push(Attempt {
                 server: server.clone(),
                 sent: self.now,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -80,7 +80,8 @@
 #[test]
 fn no_attempt_of_a_keyed_request_is_written_past_what_the_servers_remember() {
     let until = |actions: &[Action]| {
-        let until = |a: &Action| if let Action::Send { until, .. } = a { Some(*until) } else { None };
+        let until =
+            |a: &Action| if let Action::Send { dedup_until, .. } = a { Some(*dedup_until) } else { None };
         actions.iter().find_map(until).expect("an attempt")
     };
     for group in [Group::All, Group::Zone, Group::Cell] {
