Let a connection rest for 10 ms between a worker's answer and the next request

What was seen. A connection went on at once where a request waited.

Telling the two apart: nothing in an answer names its request. What comes on an idle connection: such a connection is dropped (older test).

`Workers::take` gives a connection out once it has rested; an attempt that finds only resting ones waits for the first of them, which costs the worker less than a new one.

Twenty requests in one write, answered by a worker that measures between its answer and the next request: under 10 ms fails, as it did before the mend. Four older tests ask again on the same connection; they rest before that, so that they still meet the connection they are about, and assert what they did.

--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -14,7 +14,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::sync::mpsc;
+use tokio::{sync::mpsc, time::sleep};
 use weirusher::{Lifecycle, Load, Server, ServerId, Status};
 
 /// What goes on to a worker.
@@ -56,6 +56,10 @@
 /// connection costs the worker work.
 const KEEP_LEAST: Duration = Duration::from_millis(50);
 
+/// A connection rests for so long between an answer and the next request: a worker may say the same answer again some
+/// milliseconds later, and what comes while a request is out is read as that one's answer.
+const REUSE_AFTER: Duration = Duration::from_millis(10);
+
 struct Pooled {
     link: Link,
     /// The worker's life that it was opened in.
@@ -181,14 +185,25 @@
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&target.id).filter(|h| h.life == target.life)?;
         loop {
-            // The last one used first: the rest stay idle and go. A dead one is dropped here, unreported.
-            let mut pooled = host.idle.pop()?;
+            // The last one used first, once it has rested: the others stay idle and go. A dead one is dropped here,
+            // unreported.
+            let rested = host.idle.iter().rposition(|p| p.since.elapsed() >= REUSE_AFTER)?;
+            let mut pooled = host.idle.remove(rested);
             if pooled.since.elapsed() < self.keep.get() && pooled.link.ready() {
                 return Some(pooled);
             }
         }
     }
 
+    /// How long until one of the idle connections has rested, if none has yet: that costs the worker less than a new
+    /// one would.
+    fn rests(&self, target: &Target) -> Option<Duration> {
+        let hosts = self.hosts.borrow();
+        let host = hosts.get(&target.id).filter(|h| h.life == target.life)?;
+        let longest = host.idle.iter().map(|p| p.since.elapsed()).max()?;
+        REUSE_AFTER.checked_sub(longest)
+    }
+
     fn put(&self, target: &Target, mut pooled: Pooled) {
         let mut hosts = self.hosts.borrow_mut();
         let host = hosts.get_mut(&target.id).filter(|h| h.serving && h.life == pooled.life);
@@ -238,6 +253,9 @@
         begin: &Begin<'_>,
         tally: Option<&Rc<Cell<u64>>>,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Status> {
+        if let Some(rest) = self.rests(target) {
+            sleep(rest).await;
+        }
         loop {
             let (mut pooled, kept) = match self.take(target) {
                 Some(pooled) => (pooled, true),
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -8,7 +8,7 @@
 use std::{
     io::{BufReader, Write},
     net::{Shutdown, TcpListener},
-    sync::Arc,
+    sync::{Arc, mpsc::channel},
     time::{Duration, Instant},
 };
 
@@ -258,6 +258,39 @@
     }
 }
 
+#[test]
+fn a_connection_whose_worker_may_say_its_answer_again_carries_no_request_yet() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (mut setup, discovery) = Setup::new(&[]);
+    setup.known.push(entry("w0", listener.local_addr().expect("bound"), "SERVING"));
+    discovery.change(setup.known[0].clone());
+    let (tell, gaps) = channel();
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+                let mut answered: Option<Instant> = None;
+                while read_message(&mut reader).is_some() {
+                    // From before the answer, so no less than the gateway can have waited.
+                    let _ = tell.send(answered.map(|at| at.elapsed()));
+                    answered = Some(Instant::now());
+                    let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                }
+            });
+        }
+    });
+    let node = setup.start();
+    let mut client = node.client();
+    // Each is there when the one before has its answer.
+    let all: Vec<u8> = (0..20).flat_map(|i| Ask::new(&format!("r{i}")).bytes()).collect();
+    client.reader.get_mut().write_all(&all).expect("it reads");
+    (0..20).for_each(|i| assert_eq!(client.answer().expect("a whole answer").status(), 200, "{i}"));
+    for gap in gaps.try_iter().flatten() {
+        assert!(gap >= Duration::from_millis(10), "again after {gap:?}");
+    }
+}
+
 #[test]
 fn a_discovery_that_is_down_is_called_again_well_within_the_grace_of_its_return() {
     let worker = Worker::start(Does::Serves("ok"));
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -34,6 +34,7 @@
     assert_eq!(seen.header("x-txn"), "9b1f03aa5c7e2d41");
     let wait: f64 = seen.header("x-remaining").parse().expect("how long the gateway waits");
     assert!(wait > 0.0 && wait <= 25.0, "{wait}");
+    rested();
     assert_eq!(client.ask(&Ask::submit("b")).status(), 200);
     let (second, seen) = worker.request();
     assert_eq!((seen.line.as_str(), seen.body.as_slice()), ("POST /submit HTTP/1.1", b"answer".as_slice()));
@@ -166,6 +167,7 @@
     for i in 0..4 {
         assert_eq!(client.ask(&Ask::submit(&format!("d{i}"))).status(), 200);
         worker.wait_for(|seen| matches!(seen, Seen::Ending));
+        rested();
     }
 }
 
@@ -858,6 +860,7 @@
         assert_eq!(node.ask(&Ask::submit(&format!("l{i}"))).body, b"asked");
         gate.open();
         worker.wait_for(|seen| matches!(seen, Seen::Ending));
+        rested();
     }
 }
 
@@ -868,11 +871,13 @@
     let node = setup.start();
     assert_eq!(node.ask(&Ask::new("a")).status(), 200);
     let (first, _) = worker.request();
+    rested();
     discovery.change(entry("w0", worker.addr, "DELETED"));
     discovery.told(discovery.change(entry("w1", worker.addr, "SERVING")));
     assert_eq!(node.ask(&Ask::new("b")).status(), 200);
     let (second, _) = worker.request();
     assert_ne!(first, second);
+    rested();
     // So does the same one, started anew.
     let mut anew = entry("w1", worker.addr, "SERVING");
     anew["started_ms"] = json!(1000);
