Fill a cap thinner than its gateways by chance, as far as Little's law allows

`slots` gives each gateway one of a cap at least, so of a cap of three 200 gateways have 200.

Where the gateways of a customer are over four times its cap, what comes in at one of them, over 20 s, times their number and an answer's time is what all have out. A request goes by chance, so that two fifths of the cap are out on average, as what comes by chance meets the whole cap often enough then.

Test, seen to fail before: customers who ask for four times the cap and for a fraction of it, with 30, 100 and 300 gateways, once known for 30 s.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,8 +20,7 @@
 const DEMAND_MEMORY: f64 = 1.0;
 /// Seconds after which a known level is asked again: the page's refresh.
 const REFRESH: f64 = 1.0;
-/// Share of the burst by which the count may lag behind what has lapsed before it is put right: for the first
-/// call in a window, whose level all others start from, and for later ones.
+/// Share of the burst by which the count may lag unmended: for the first call in a window, and for others.
 const LAPSE_SLACK: (f64, f64) = (0.1, 0.5);
 /// Share of the counter's time limit that a request is held for: a few milliseconds.
 const HOLD_SHARE: f64 = 0.4;
@@ -38,8 +37,7 @@
 const CALLS_BACK: (f64, f64) = (4.0, 0.5);
 /// How the rate of calls moves: up by this times its root when quick, times these when slow or lost.
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
-/// Most that it grows by, as a share, once the counter was seen slow: its root is much of a small rate, and
-/// many gateways of such rates would hold the counter crowded.
+/// Most that it grows by, as a share, once the counter was seen slow: its root is much of a small rate.
 const CALLS_GROWTH: f64 = 0.1;
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
@@ -49,6 +47,8 @@
 const HEDGE_AIM: f64 = 0.4;
 /// Share of the aim that a covered request may wait for a slot under a cap: the rest is for its answer.
 const SLOT_AIM: f64 = 0.4;
+/// Share of a cap on what is out that many gateways fill on average: what comes by chance may meet it all.
+const THIN_CAP: f64 = 0.4;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
 const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
@@ -59,8 +59,7 @@
 const COLD_SHARE: f64 = 0.4;
 /// A server counts as fuller by its mean latency over that of all servers, from one over this on.
 const OUTLIER: f64 = 1.5;
-/// A server that errs always on a class counts for that class as this many times fuller: an error may be a
-/// request lost, a longer line at another server hardly is.
+/// A server that errs always on a class counts as this many times fuller: an error may be a request lost.
 const ERRING: f64 = 20.0;
 /// Seconds after which an error counts for little: it is mended as suddenly as it came.
 const ERROR_MEMORY: f64 = 4.0;
@@ -78,15 +77,13 @@
 const NEWS_MEMORY: f64 = 14.0;
 /// Most that the bound may be above what was out of late.
 const LIMIT_GROWTH: f64 = 3.0;
-/// Servers that a gateway keeps to while any may be sent to: at least, and times servers over gateways, so
-/// that many meet at each. It hears of few often, not of all rarely, and opens few connections.
+/// Servers that a gateway keeps to: at least, and times servers over gateways, so that many meet at each.
 const SUBSET: (usize, usize) = (6, 20);
 /// The golden section: its multiples' fractions lie evenly on a circle, however many.
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Failures in a row that put a server out; a refused connection counts as all but one of them.
 const EJECT_AFTER: u32 = 3;
-/// Seconds for which a server must be out of reach, with no answer between, to count as gone: connections
-/// also fail by chance, and one that was gone is spared as cold for long.
+/// Seconds out of reach, with no answer between, for a server to count as gone, and to be spared as cold.
 const GONE_AFTER: f64 = 0.5;
 /// Seconds a server is first and at most put out for.
 const EJECT: (f64, f64) = (1.0, 8.0);
@@ -96,19 +93,16 @@
 const LEAST_OUT: f64 = 3.0;
 /// Deviations over the mean that what is out may swing while answers come fast: few requests come by chance.
 const SWING: f64 = 2.0;
-/// Seconds after which an idle customer is forgotten: the longest window and a refresh, by when its stores
-/// have refilled; and seconds between looks for such, as most may come only once.
+/// Seconds after which an idle customer is forgotten, its stores refilled, and between looks for such.
 const FORGET: (f64, f64) = (26.0, 5.0);
 /// Share of the time-outs of late over which they say nothing of one server: the fleet is slow.
 const TIMEOUTS_FEW: f64 = 0.3;
 
 /// Seconds that each gateway adds to the span over which all spread their first calls for the list.
 const ASK_TURN: f64 = 0.05;
-/// Seconds that this span has at most after a call that failed: whatever became of that, news counts as
-/// told 6 s after the service had it, and the call itself takes some of them.
-const ASK_FIRST: f64 = 1.0;
-/// To how many seconds it grows while calls fail, in a small fleet and in any; so many it has at the start.
-const ASK_MOST: (f64, f64) = (2.0, 3.0);
+/// Its most, in seconds, after a call that failed, as news counts as told 6 s after the service had it; while
+/// calls go on failing, in a small fleet and in any, and at the start.
+const ASK_MOST: (f64, f64, f64) = (1.0, 2.0, 3.0);
 /// Share that it may wait of the time after which a gateway that has not asked counts as told.
 const ASK_SHARE: f64 = 0.8;
 
@@ -169,6 +163,8 @@
     /// Units spent off the count; the next ask adds them.
     owed: f64,
     demand: Store,
+    /// Requests, over the memory of peaks.
+    came: Store,
     /// The safe share; under a ceiling all local spending draws it down, so that quiet grants nothing twice.
     share: Store,
     /// The quota's store as the count last showed it.
@@ -449,8 +445,8 @@
 
     fn list(&mut self, kind: ListKind, servers: Vec<Server>) {
         match kind {
-            ListKind::Stale => self.ask_list(ASK_MOST.1),
-            ListKind::Failed => self.ask_list(ASK_FIRST),
+            ListKind::Stale => self.ask_list(ASK_MOST.2),
+            ListKind::Failed => self.ask_list(ASK_MOST.0),
             _ => self.ask_span = 0.0,
         }
         if kind == ListKind::Stale {
@@ -475,10 +471,8 @@
         self.name_usable();
     }
 
-    /// One service tells all gateways the list and takes their calls in turn. Those that a start of all sends
-    /// at once fill its line; there they wait in vain, are called anew and fill it again. So each calls at a
-    /// moment of its own, within a span that gives every gateway its turn, and while calls fail within one
-    /// twice as long: the line empties.
+    /// One service tells all gateways the list in turn. A start of all fills its line with calls that wait in
+    /// vain and are made anew. So each calls at a moment of its own, while calls fail within a longer span.
     fn ask_list(&mut self, first: f64) {
         if !self.set.must_ask {
             return;
@@ -487,7 +481,7 @@
         let told = ASK_SHARE * self.set.must_ask_in;
         self.ask_span = match self.ask_span {
             0.0 => turns.min(first).min(told),
-            span => (2.0 * span).min(turns.clamp(ASK_MOST.0, ASK_MOST.1)),
+            span => (2.0 * span).min(turns.clamp(ASK_MOST.1, ASK_MOST.2)),
         };
         let at = self.now + self.draw() * self.ask_span;
         self.set_timer(at, Due::Watch);
@@ -798,6 +792,7 @@
         customer.turn =
             (self.set.me + self.set.gateways - request.first % self.set.gateways) % self.set.gateways;
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
+        note_demand(&mut customer.came, self.now, 1.0, PEAK_MEMORY);
         if !self.room(1.0) {
             return self.end(&id, self.set.max_retry_after);
         }
@@ -900,6 +895,13 @@
     fn spend(&mut self, id: JobId, units: f64, off_count: bool) {
         let key = self.jobs[&id].request.customer.clone();
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
+        // Far fewer slots than gateways: by Little's law what comes in here tells what all of them have out.
+        let customer = &self.customers[&key];
+        let out = customer.came.level / PEAK_MEMORY * f64::from(customer.spread) * self.latency;
+        let (thin, most) = ((1..customer.spread / 4).contains(&plan.open), THIN_CAP * f64::from(plan.open));
+        if thin && self.draw() * out > most {
+            return self.end(&id, self.latency);
+        }
         let customer = self.customers.get_mut(&key).expect("spending customers are known");
         if off_count && plan.burst < f64::from(customer.spread) * units {
             note_demand(&mut self.flows[customer.plan].0, self.now, units, PEAK_MEMORY);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -190,3 +190,71 @@
 fn what_a_large_fleet_sends_beyond_quotas_costs_little() {
     costs(&[30, 100, 300]);
 }
+
+/// Of the tries that `n` gateways send for one customer who asks `rate` times a second, the share sent while the cap of
+/// three was out already, and the share of all tries that is sent, over 30 s from when they have known it for 30 s. An
+/// answer takes 50 ms.
+fn beyond_a_cap(n: u32, rate: f64) -> (f64, f64) {
+    let mut s = settings();
+    (s.has_counter, s.gateways, s.plans) = (false, n, vec![Plan::default()]);
+    s.plans[0].open = 3;
+    let servers: Vec<Server> = (0..9).map(|i| server(&format!("s{i}"), Lifecycle::Running, 0.0)).collect();
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut rigs: Vec<Rig> = (0..n)
+        .map(|me| {
+            let mut s = s.clone();
+            s.me = me;
+            let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
+            let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
+            rig.list(ListKind::Stale, servers.clone());
+            rig
+        })
+        .collect();
+    let mut out: Vec<(Time, usize, JobId, ServerId)> = Vec::new();
+    let (mut asked, mut sent, mut beyond) = (0, 0, 0);
+    for step in 0..60_000 {
+        let now = 100.0 + f64::from(step) * 0.001;
+        if step == 30_000 {
+            (asked, sent, beyond) = (0, 0, 0);
+        }
+        while let Some(place) = out.iter().position(|(at, ..)| *at <= now) {
+            let (_, i, job, server) = out.remove(place);
+            rigs[i].now = now;
+            let (status, load) = (Status::Ok, Load::default());
+            let (attempt, spent, over, settled) = (0, 0.05, true, None);
+            let event = Event::Outcome { job, attempt, server, status, spent, over, settled, load };
+            // One that waited for a slot goes out now.
+            for (job, server) in sends(&rigs[i].event(event)) {
+                (sent, beyond) = (sent + 1, beyond + u32::from(out.len() >= 3));
+                out.push((now + 0.05, i, job, server));
+            }
+        }
+        if rng.f64() >= rate * 0.001 {
+            continue;
+        }
+        asked += 1;
+        let i = rng.usize(0..n as usize);
+        rigs[i].now = now;
+        let mut request = request(&format!("j{step}"), now);
+        request.spread = n;
+        for (job, server) in sends(&rigs[i].event(Event::Request(request))) {
+            (sent, beyond) = (sent + 1, beyond + u32::from(out.len() >= 3));
+            out.push((now + 0.05, i, job, server));
+        }
+        rigs[i].actions.clear();
+    }
+    (f64::from(beyond) / f64::from(sent), f64::from(sent) / f64::from(asked))
+}
+
+#[test]
+fn a_cap_far_thinner_than_the_fleet_is_kept_on_average_and_leaves_light_customers_alone() {
+    for n in [30, 100, 300] {
+        // Four times what would keep the cap busy.
+        let (beyond, sent) = beyond_a_cap(n, 240.0);
+        assert!(beyond <= 0.25, "{n} gateways: {beyond:.2} of what is sent is beyond the cap");
+        assert!(sent >= 0.05, "{n} gateways: {sent:.2} is sent");
+        let (beyond, sent) = beyond_a_cap(n, 8.0);
+        assert!(sent >= 0.9, "{n} gateways: {sent:.2} of a light customer's is sent");
+        assert!(beyond <= 0.02, "{n} gateways: {beyond:.2} of it beyond the cap");
+    }
+}
