--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -77,6 +77,20 @@
     all
 }
 
+/// All gateways of the settings' fleet, with so many servers.
+fn fleet(s: &Settings, servers: u32) -> Vec<Rig> {
+    let name = |i: u32| server(&format!("s{i:03}"), Lifecycle::Running, 0.0);
+    let rig = |me: u32| {
+        let mut s = s.clone();
+        s.me = me;
+        let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
+        let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
+        rig.list(ListKind::Stale, (0..servers).map(name).collect());
+        rig
+    };
+    (0..s.gateways).map(rig).collect()
+}
+
 /// What `n` gateways pay for what they send beyond quotas, as a share of the worth that is asked for inside them, and the
 /// share of that worth which they send.
 fn over_quota(n: u32) -> (f64, f64) {
@@ -84,18 +98,7 @@
     let mut customers = customers(n, &mut rng);
     let mut s = settings();
     (s.plans, s.gateways, s.max_units, s.count_limit) = (plans(), n, 4.0, 0.08);
-    let servers: Vec<Server> =
-        (0..9.max(n * 2 / 3)).map(|i| server(&format!("s{i:03}"), Lifecycle::Running, 0.0)).collect();
-    let mut rigs: Vec<Rig> = (0..n)
-        .map(|me| {
-            let mut s = s.clone();
-            s.me = me;
-            let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
-            let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
-            rig.list(ListKind::Stale, servers.clone());
-            rig
-        })
-        .collect();
+    let mut rigs = fleet(&s, 9.max(n * 2 / 3));
     let mut asked: BTreeMap<JobId, (usize, f64)> = BTreeMap::new();
     let (mut counts, mut free): (BTreeMap<u64, f64>, f64) = (BTreeMap::new(), 100.0);
     // What is due, in order: a call's answer, an attempt's, a timer.
@@ -198,18 +201,8 @@
     let mut s = settings();
     (s.has_counter, s.gateways, s.plans) = (false, n, vec![Plan::default()]);
     s.plans[0].open = 3;
-    let servers: Vec<Server> = (0..9).map(|i| server(&format!("s{i}"), Lifecycle::Running, 0.0)).collect();
     let mut rng = fastrand::Rng::with_seed(7);
-    let mut rigs: Vec<Rig> = (0..n)
-        .map(|me| {
-            let mut s = s.clone();
-            s.me = me;
-            let gateway = Gateway::new(s, u64::from(me) * 7919 + 1).expect("usable settings");
-            let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
-            rig.list(ListKind::Stale, servers.clone());
-            rig
-        })
-        .collect();
+    let mut rigs = fleet(&s, 9);
     let mut out: Vec<(Time, usize, JobId, ServerId)> = Vec::new();
     let (mut asked, mut sent, mut beyond) = (0, 0, 0);
     for step in 0..60_000 {
