--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,35 @@
+//! Command line of the lab, which measures the gatekeeper at scale.
+
+use clap::{Parser, Subcommand};
+use oliverack_lab::{fleet, process};
+use std::process::ExitCode;
+
+/// Measures the gatekeeper at scale.
+#[derive(Debug, Parser)]
+#[command(name = "oliverack-lab", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Simulates a fleet of gatekeepers on a discrete clock.
+    Fleet(fleet::Arguments),
+    /// Measures the policy and the built program at growing sizes.
+    Process(process::Arguments),
+}
+
+fn main() -> ExitCode {
+    let result = match Arguments::parse().command {
+        Command::Fleet(arguments) => fleet::run(&arguments).map_err(|e| e.to_string()),
+        Command::Process(arguments) => process::run(&arguments).map_err(|e| e.to_string()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("oliverack-lab: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
