--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,9 +6,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod decaying_sum;
 mod interface;
 mod logic;
 mod options;
+mod token_bucket;
 
 pub use interface::*;
 pub use logic::Gateway;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,7 +4,9 @@
 //! customer's count and kept as far as the window's burst allows; else it is refused at once. While the
 //! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
 
+use crate::decaying_sum::add as note_demand;
 use crate::interface::*;
+use crate::token_bucket::TokenBucket as Store;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 
@@ -138,21 +140,6 @@
     }
 }
 
-/// A token bucket: `level` at `at`.
-#[derive(Debug, Clone, Copy, Default)]
-struct Store {
-    level: f64,
-    at: Time,
-}
-
-impl Store {
-    fn refill(&mut self, now: Time, rate: f64, burst: f64) -> f64 {
-        self.level = (self.level + rate * (now - self.at)).min(burst);
-        self.at = now;
-        self.level
-    }
-}
-
 #[derive(Debug, Default)]
 struct Customer {
     plan: usize,
@@ -1275,9 +1262,3 @@
         }
     }
 }
-
-/// Adds units to a decaying sum; the sum over its memory is the recent rate.
-fn note_demand(sum: &mut Store, now: Time, units: f64, memory: f64) {
-    sum.level = sum.level * (-(now - sum.at) / memory).exp() + units;
-    sum.at = now;
-}
