Move what decides nothing out of the policy: jobs, the hash and the check of settings

The records of requests and attempts go to src/job.rs, the hash that all gateways agree on to src/hash.rs, and the check of the settings becomes a method of theirs.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -166,6 +166,33 @@
     }
 }
 
+impl Settings {
+    /// Whether a gateway can work with them: its number is one of the gateways', and all figures are numbers
+    /// that are not negative.
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
+        if self.me >= self.gateways {
+            let none = self.gateways == 0;
+            return Err(if none { SettingsError::NoGateways } else { SettingsError::MeOutOfRange });
+        }
+        let mut figures = vec![("count_limit", self.count_limit), ("max_retry_after", self.max_retry_after)];
+        figures.extend([
+            ("cold_from", self.cold_from),
+            ("cold", self.cold),
+            ("step", self.step),
+            ("fall", self.fall),
+        ]);
+        figures.extend([("fall_multiple", self.fall_multiple), ("must_ask_in", self.must_ask_in)]);
+        figures.extend(self.classes.iter().flat_map(|c| [("aim", c.aim), ("late_worth", c.late_worth)]));
+        for p in &self.plans {
+            figures.extend([("rate", p.rate), ("burst", p.burst), ("excess_worth", p.excess_worth)]);
+            figures.extend([("overrun_cost", p.overrun_cost), ("ceiling_rate", p.ceiling_rate)]);
+            figures.extend([("ceiling_burst", p.ceiling_burst), ("pays", p.pays)]);
+        }
+        let bad = figures.into_iter().find(|(_, v)| !v.is_finite() || *v < 0.0);
+        bad.map_or(Ok(()), |(name, _)| Err(SettingsError::BadNumber(name)))
+    }
+}
+
 /// Settings that no gateway can work with.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[non_exhaustive]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,7 +7,9 @@
 #![warn(missing_docs)]
 
 mod decaying_sum;
+mod hash;
 mod interface;
+mod job;
 mod logic;
 mod options;
 mod token_bucket;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,10 +5,11 @@
 //! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
 
 use crate::decaying_sum::add as note_demand;
+use crate::hash::hash;
 use crate::interface::*;
+use crate::job::{Attempt, Job, Ran};
 use crate::token_bucket::TokenBucket as Store;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::Hasher;
 
 // ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
 
@@ -108,38 +109,6 @@
 /// Share that it may wait of the time after which a gateway that has not asked counts as told.
 const ASK_SHARE: f64 = 0.8;
 
-/// Where an attempt stands, as far as rule two cares.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Ran {
-    Out,
-    Never,
-    Maybe,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    server: ServerId,
-    sent: Time,
-    ran: Ran,
-    /// Its answer has begun: the work is done, whatever time the client takes to read of it.
-    begun: bool,
-}
-
-#[derive(Debug)]
-struct Job {
-    request: Request,
-    arrived: Time,
-    attempts: Vec<Attempt>,
-    over: bool,
-    streaming: bool,
-}
-
-impl Job {
-    fn out(&self) -> usize {
-        self.attempts.iter().filter(|a| a.ran == Ran::Out).count()
-    }
-}
-
 #[derive(Debug, Default)]
 struct Customer {
     plan: usize,
@@ -277,31 +246,6 @@
     further: f64,
 }
 
-fn hash(parts: &[&[u8]]) -> u64 {
-    let mut hasher = fnv::FnvHasher::default();
-    parts.iter().for_each(|p| hasher.write(p));
-    // FNV leaves the high bits of short inputs poor; one multiply-shift round spreads them.
-    let h = hasher.finish();
-    (h ^ (h >> 32)).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 1
-}
-
-fn check(s: &Settings) -> Result<(), SettingsError> {
-    if s.me >= s.gateways {
-        return Err(if s.gateways == 0 { SettingsError::NoGateways } else { SettingsError::MeOutOfRange });
-    }
-    let mut figures = vec![("count_limit", s.count_limit), ("max_retry_after", s.max_retry_after)];
-    figures.extend([("cold_from", s.cold_from), ("cold", s.cold), ("step", s.step), ("fall", s.fall)]);
-    figures.extend([("fall_multiple", s.fall_multiple), ("must_ask_in", s.must_ask_in)]);
-    figures.extend(s.classes.iter().flat_map(|c| [("aim", c.aim), ("late_worth", c.late_worth)]));
-    for p in &s.plans {
-        figures.extend([("rate", p.rate), ("burst", p.burst), ("excess_worth", p.excess_worth)]);
-        figures.extend([("overrun_cost", p.overrun_cost), ("ceiling_rate", p.ceiling_rate)]);
-        figures.extend([("ceiling_burst", p.ceiling_burst), ("pays", p.pays)]);
-    }
-    let bad = figures.into_iter().find(|(_, v)| !v.is_finite() || *v < 0.0);
-    bad.map_or(Ok(()), |(name, _)| Err(SettingsError::BadNumber(name)))
-}
-
 fn window_length(plan: &Plan) -> f64 {
     (WINDOW_SPANS * plan.burst / plan.rate).clamp(WINDOW_BOUNDS.0, WINDOW_BOUNDS.1)
 }
@@ -342,7 +286,7 @@
     /// # Errors
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        check(&settings)?;
+        settings.check()?;
         let rng = fastrand::Rng::with_seed(seed);
         let flows = vec![Default::default(); settings.plans.len()];
         // Even over the gateways, and far apart for those in a row, as a customer's are.
