--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A harness that drives the module alone and keeps what it returned.
 #![allow(dead_code)]
 
+pub mod simulation;
+
 use weirusher::*;
 
 pub struct Rig {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -3,7 +3,7 @@
 //! nothing here.
 
 mod common;
-use common::*;
+use common::{simulation::*, *};
 use std::collections::BTreeMap;
 use weirusher::*;
 
@@ -98,20 +98,14 @@
     let mut customers = customers(n, &mut rng);
     let mut s = settings();
     (s.plans, s.gateways, s.max_units, s.count_limit) = (plans(), n, 4.0, 0.08);
-    let mut rigs = fleet(&s, 9.max(n * 2 / 3));
+    let rigs = fleet(&s, 9.max(n * 2 / 3));
     let mut asked: BTreeMap<JobId, (usize, f64)> = BTreeMap::new();
-    let (mut counts, mut free): (BTreeMap<u64, f64>, f64) = (BTreeMap::new(), 100.0);
-    // What is due, in order: a call's answer, an attempt's, a timer.
-    let mut due: BTreeMap<(u64, u64), (usize, Event)> = BTreeMap::new();
+    let counter = CounterModel::new(CALLS, WAY, LINE, s.count_limit);
+    let mut simulation = Simulation::new(rigs, counter);
     let (mut number, mut paid, mut served, mut offered) = (0, 0.0, 0.0, 0.0);
-    let (mut now, mut turn): (f64, u64) = (100.0, 0);
+    let mut now: f64 = 100.0;
     while now < 100.0 + SECONDS {
-        let mut out: Vec<(usize, Action)> = Vec::new();
-        while let Some(first) = due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
-            let (i, event) = first.remove();
-            rigs[i].now = now;
-            out.extend(rigs[i].event(event).into_iter().map(|a| (i, a)));
-        }
+        let mut sent = simulation.advance(now);
         for (c, customer) in customers.iter_mut().enumerate() {
             let (times, from) = customer.spike;
             let spikes = (from..from + 2.0).contains(&((now - 100.0) % 15.0));
@@ -123,53 +117,23 @@
             offered += if take(&mut customer.alone, now, plan, units) { units * plan.pays } else { 0.0 };
             // Uneven: a third of a customer's tries come in by the first of its gateways.
             let place = if rng.u32(0..3) == 0 { 0 } else { rng.u32(0..customer.spread) };
-            let i = ((customer.first + place) % n) as usize;
+            let gateway = ((customer.first + place) % n) as usize;
             let mut request = request(&format!("j{number}"), now);
             (request.units, request.plan, request.spread) = (units, customer.plan, customer.spread);
             (request.first, request.customer) = (customer.first, customer.id.clone());
             asked.insert(request.job.clone(), (c, units));
-            rigs[i].now = now;
-            out.extend(rigs[i].event(Event::Request(request)).into_iter().map(|a| (i, a)));
+            sent.extend(simulation.handle(gateway, now, Event::Request(request)));
         }
-        for (i, action) in out {
-            turn += 1;
-            let (at, event) = match action {
-                Action::Send { job, server, .. } => {
-                    if let Some((c, units)) = asked.remove(&job) {
-                        let customer = &mut customers[c];
-                        let plan = &s.plans[customer.plan];
-                        if take(&mut customer.fleet, now, plan, units) {
-                            served += units * plan.pays;
-                        } else {
-                            paid += plan.overrun_cost * units * plan.pays;
-                        }
-                    }
-                    let (status, load) = (Status::Ok, Load::default());
-                    let (attempt, spent, over, settled) = (0, 0.05, true, None);
-                    (now + 0.05, Event::Outcome { job, attempt, server, status, spent, over, settled, load })
-                }
-                Action::Count { counter, amount, .. } => {
-                    let wait = (free - now).max(0.0);
-                    if wait > LINE {
-                        let (status, total, spent) = (Status::Full, 0.0, WAY);
-                        (now + WAY, Event::Counted { counter, status, total, spent })
-                    } else {
-                        free = now.max(free) + 1.0 / CALLS;
-                        let total = counts.entry(counter).or_default();
-                        *total += amount;
-                        let (total, spent) = (*total, wait + WAY);
-                        let in_time = spent <= s.count_limit;
-                        let (status, at) =
-                            if in_time { (Status::Ok, spent) } else { (Status::Timeout, 0.08) };
-                        (now + at, Event::Counted { counter, status, total, spent: at })
-                    }
-                }
-                Action::Timer { token, at } => (at, Event::Timer { token }),
-                _ => continue,
-            };
-            due.insert((at.to_bits(), turn), (i, event));
+        for job in sent {
+            let (c, units) = asked.remove(&job).expect("sent as it was asked");
+            let customer = &mut customers[c];
+            let plan = &s.plans[customer.plan];
+            if take(&mut customer.fleet, now, plan, units) {
+                served += units * plan.pays;
+            } else {
+                paid += plan.overrun_cost * units * plan.pays;
+            }
         }
-        rigs.iter_mut().for_each(|rig| rig.actions.clear());
         now += STEP;
     }
     (paid / offered, served / offered)
