--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,9 +6,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod decaying_sum;
+mod hash;
 mod interface;
+mod job;
 mod logic;
 mod options;
+mod token_bucket;
 
 pub use interface::*;
 pub use logic::Gateway;
