Simulate a fleet of gatekeepers on a discrete clock

The lab's fleet command hosts the policy itself before models of workers, discovery, counter, tenants and faults, all from a TOML file and a seed, and counts messages, bytes, quotas, ceilings, latency and processor time.

--- /dev/null
+++ b/lab/src/fleet/gatekeepers.rs
@@ -0,0 +1,177 @@
+//! The gatekeepers: each holds the policy itself, which starts anew at every restart.
+
+use super::configuration::{Configuration, Repeat};
+use super::counter_calls::CounterCalls;
+use super::measures::Traffic;
+use super::processor::{ProcessorTimes, Work};
+use std::collections::HashSet;
+use std::time::Instant;
+use weirusher::{Action, Class, Effect, Event, Gateway, Group, JobId, Plan, Settings, SettingsError, Time};
+
+/// One gatekeeper.
+#[derive(Debug)]
+pub struct Gatekeeper {
+    /// Its zone.
+    pub zone: u32,
+    /// Seconds by which news of the workers is late here.
+    pub lateness: f64,
+    /// Counts its lives: events for a past life are dropped.
+    pub life: u32,
+    /// Since when it has been down; `None`: it is up.
+    pub down_since: Option<Time>,
+    /// The service tells it changes.
+    pub watching: bool,
+    /// When the last answer of the service came.
+    pub told_at: Time,
+    /// Its calls to the counter.
+    pub calls: CounterCalls,
+    /// Its messages.
+    pub traffic: Traffic,
+    /// Requests that are open.
+    pub open: usize,
+    /// Most that were.
+    pub most_open: usize,
+    /// Requests that it has taken.
+    pub requests: u64,
+    tenants: HashSet<usize>,
+    policy: Gateway,
+}
+
+impl Gatekeeper {
+    /// A gatekeeper that knows nothing yet.
+    ///
+    /// # Errors
+    /// Settings that the policy refuses.
+    pub fn new(settings: Settings, seed: u64, lateness: f64, now: Time) -> Result<Self, SettingsError> {
+        Ok(Self {
+            zone: settings.zone,
+            lateness,
+            life: 0,
+            down_since: None,
+            watching: false,
+            told_at: now,
+            calls: CounterCalls::default(),
+            traffic: Traffic::default(),
+            open: 0,
+            most_open: 0,
+            requests: 0,
+            tenants: HashSet::new(),
+            policy: Gateway::new(settings, seed)?,
+        })
+    }
+
+    /// Ends this life: all that the policy knew and waited for is lost.
+    pub fn die(&mut self, now: Time) {
+        self.life += 1;
+        self.down_since = Some(now);
+        self.watching = false;
+        self.calls = CounterCalls::default();
+        self.open = 0;
+    }
+
+    /// Starts a new life.
+    ///
+    /// # Errors
+    /// Settings that the policy refuses.
+    pub fn start(&mut self, settings: Settings, seed: u64, now: Time) -> Result<(), SettingsError> {
+        self.policy = Gateway::new(settings, seed)?;
+        self.down_since = None;
+        self.told_at = now;
+        Ok(())
+    }
+
+    /// Whether it is up, in this life.
+    pub fn lives(&self, life: u32) -> bool {
+        self.down_since.is_none() && self.life == life
+    }
+
+    /// Gives an event to the policy, and measures the time that it takes.
+    pub fn handle(&mut self, now: Time, event: Event, times: &mut ProcessorTimes) -> Vec<Action> {
+        let work = Work::of(&event);
+        let mut actions = Vec::new();
+        let begun = Instant::now();
+        self.policy.handle(now, event, &mut actions);
+        times.record(work, begun.elapsed());
+        actions
+    }
+
+    /// Notes a request of a tenant.
+    pub fn note_request(&mut self, tenant: usize) {
+        self.requests += 1;
+        self.open += 1;
+        self.most_open = self.most_open.max(self.open);
+        self.tenants.insert(tenant);
+    }
+
+    /// Tenants that it has met in all its lives.
+    pub fn tenants(&self) -> usize {
+        self.tenants.len()
+    }
+
+    /// Workers that the policy lists, and those of them that it avoids.
+    pub fn targets(&self, now: Time) -> weirusher::Targets {
+        self.policy.targets(now)
+    }
+}
+
+/// What the policy is told at its start.
+pub fn settings(configuration: &Configuration, number: u32, zone: u32) -> Settings {
+    let mut settings = Settings::default();
+    settings.me = number;
+    settings.gateways = configuration.gatekeepers.count;
+    settings.zone = zone;
+    settings.classes = configuration.classes.iter().map(class).collect();
+    settings.plans = configuration.plans.iter().map(plan).collect();
+    settings.has_counter = configuration.counter.is_some();
+    settings.count_limit = configuration.policy.count_limit;
+    settings.max_units = f64::from(configuration.tenants.max_units);
+    settings.may_cancel = configuration.policy.may_cancel;
+    settings.second_copies = configuration.policy.second_copies;
+    settings.max_attempts = configuration.policy.max_attempts;
+    settings.max_retry_after = configuration.policy.max_retry_after;
+    settings.must_ask = configuration.discovery.mode == super::configuration::DiscoveryMode::Ask;
+    settings.cold_from = configuration.workers.cold_from;
+    settings.cold = configuration.workers.cold_seconds;
+    settings.fall_multiple = configuration.workers.fall_multiple;
+    settings.fall = configuration.workers.fall_seconds;
+    settings
+}
+
+fn class(figures: &super::configuration::Class) -> Class {
+    let mut class = Class::default();
+    class.aim = figures.aim;
+    class.late_worth = figures.late_worth;
+    class.effect = match figures.repeat {
+        Repeat::Safe => Effect::Safe,
+        Repeat::Keyed => Effect::Keyed { group: Group::Zone, window: figures.window },
+        Repeat::Unsafe => Effect::Unsafe,
+    };
+    class
+}
+
+fn plan(figures: &super::configuration::Plan) -> Plan {
+    let mut plan = Plan::default();
+    plan.rate = figures.rate;
+    plan.burst = figures.burst;
+    plan.open = figures.open;
+    plan.pays = figures.pays;
+    plan.excess_worth = figures.excess_worth;
+    plan.overrun_cost = figures.overrun_cost;
+    plan.ceiling_rate = figures.ceiling_rate;
+    plan.ceiling_burst = figures.ceiling_burst;
+    plan
+}
+
+/// An event and the life of the gatekeeper that it is meant for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Address {
+    /// The gatekeeper.
+    pub gatekeeper: usize,
+    /// Its life.
+    pub life: u32,
+}
+
+/// A request that the policy names, by the number that the model gave it.
+pub fn request_number(job: &JobId) -> u64 {
+    super::requests::number_of(job).expect("the policy names no request but those that it was given")
+}
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,28 +1,165 @@
-//! To be written.
+//! Simulates a fleet of gatekeepers on a discrete clock.
+//!
+//! Each gatekeeper holds the policy itself ([`weirusher::Gateway`]). Workers, discovery, the counter, the tenants and
+//! the network are models. All sizes, rates and faults come from a TOML file, all random numbers from a seed, so a
+//! file and a seed give the same figures each time, processor times excepted.
 
+pub mod clock;
+pub mod configuration;
+pub mod counter;
+pub mod counter_calls;
+pub mod discovery;
+pub mod faults;
+pub mod gatekeepers;
+pub mod measures;
+pub mod processor;
+pub mod randomness;
+pub mod report;
+pub mod requests;
+pub mod simulation;
+pub mod table;
+pub mod tenants;
+pub mod validation;
+pub mod wire_size;
+pub mod workers;
+
+use configuration::Configuration;
+use report::Record;
+use simulation::Simulation;
 use std::fmt;
+use std::fs;
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::Instant;
+use validation::InvalidFigure;
+use weirusher::SettingsError;
+
+/// Explains the file in the help of the command.
+const FILE_HELP: &str = "\
+The file is TOML; times are in seconds, delays are one way, unknown keys are errors.
+  seconds             for how long requests arrive
+  [topology]          regions, zones, delay_in_zone, delay_in_region, delay_between_regions
+  [gatekeepers]       count (at most 1024), restart_seconds
+  [policy]            count_limit, max_attempts, second_copies, may_cancel, max_retry_after
+  [workers]           count (at most 16384), cells, slots, queue (beyond it a worker turns away), service_seconds,
+                      service_seconds_per_unit, service_variation (share that is exponentially distributed),
+                      cold_from, cold_seconds, fall_multiple, fall_seconds (both only told to the policy)
+  [discovery]         mode = \"push\" | \"ask\", lateness = [least, most], calls_per_second, give_up_after,
+                      watch_seconds
+  [counter]           parts, calls_per_second (of each part), queue (of each part), delay; may be left out
+  [tenants]           count (at most 65536), spread = [least, most], skew = [least, most], max_units
+  [clients]           max_retries, retry_share, retry_seconds, front_notices_after, request_body, answer_body
+  [[classes]]         name, share, aim, late_worth, deadline, worth, repeat = \"safe\" | \"keyed\" | \"unsafe\", window
+  [[plans]]           name, share, rate, burst, pays; open, excess_worth, overrun_cost, ceiling_rate, ceiling_burst
+  [[usage]]           name, share, of_rate = [least, most]; spike_factor, spike_seconds, spike_every
+  [[faults]]          kind = \"restart-at-once\" (at, share) | \"restart-one-by-one\" (from, until, count)
+                      | \"lose-zone\" (at, until, zone) | \"cut-counter\" (at, until, zone)
+                      | \"slow-counter\" (at, until, factor) | \"silence-counter\" (at, until)
+                      | \"forget-counts\" (at, share) | \"crash-workers\" (at, until, share)
+                      | \"hang-workers\" (at, until, share) | \"drain-workers\" (at, until, share)
+                      | \"replace-workers\" (from, until, count)
+The load follows from the tenants, their plans and their usage; the table shows it as nominal requests a second.
+Examples are in lab/experiments/.";
 
 /// Arguments of the `fleet` command.
 #[derive(Debug, clap::Args)]
-pub struct Arguments {}
+#[command(after_help = FILE_HELP)]
+pub struct Arguments {
+    /// The TOML file that describes the run.
+    pub file: PathBuf,
+    /// Seed of all random numbers.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Write all results to this file, one JSON record a line.
+    #[arg(long)]
+    pub json: Option<PathBuf>,
+}
 
 /// Why a measurement could not be made.
 #[derive(Debug)]
 #[non_exhaustive]
-pub enum Error {}
+pub enum Error {
+    /// The file cannot be read.
+    Read(PathBuf, io::Error),
+    /// The file is not what it should be; one line.
+    Syntax(String),
+    /// A figure that no run can have.
+    Invalid(InvalidFigure),
+    /// The policy refuses its settings.
+    Settings(SettingsError),
+    /// The results cannot be written.
+    Write(PathBuf, io::Error),
+    /// The table cannot be printed.
+    Print(io::Error),
+}
 
 impl fmt::Display for Error {
-    fn fmt(&self, _f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match *self {}
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read(path, error) => write!(f, "cannot read {}: {error}", path.display()),
+            Self::Syntax(message) => f.write_str(message),
+            Self::Invalid(figure) => write!(f, "{figure}"),
+            Self::Settings(error) => write!(f, "the policy refuses its settings: {error}"),
+            Self::Write(path, error) => write!(f, "cannot write {}: {error}", path.display()),
+            Self::Print(error) => write!(f, "cannot print the results: {error}"),
+        }
     }
 }
 
 impl std::error::Error for Error {}
 
+/// Reads and checks a configuration.
+///
+/// # Errors
+/// A text that is no TOML, an unknown or missing key, or a figure that no run can have.
+pub fn parse(text: &str) -> Result<Configuration, Error> {
+    let configuration = toml::from_str(text).map_err(|error| Error::Syntax(one_line(text, &error)))?;
+    validation::check(&configuration).map_err(Error::Invalid)?;
+    Ok(configuration)
+}
+
+/// The reader's message with the line that it is about.
+fn one_line(text: &str, error: &toml::de::Error) -> String {
+    let message = error.message().replace('\n', " ");
+    match error.span() {
+        Some(span) => {
+            let line = text.bytes().take(span.start).filter(|byte| *byte == b'\n').count() + 1;
+            format!("line {line}: {message}")
+        }
+        None => message,
+    }
+}
+
+/// Simulates a fleet.
+///
+/// # Errors
+/// Settings that the policy refuses.
+pub fn simulate(configuration: Configuration, seed: u64) -> Result<Vec<Record>, Error> {
+    let begun = Instant::now();
+    let simulation = Simulation::new(configuration, seed).map_err(Error::Settings)?;
+    let outcome = simulation.run().map_err(Error::Settings)?;
+    Ok(report::records(&outcome, seed, begun.elapsed().as_secs_f64()))
+}
+
 /// Runs the command.
 ///
 /// # Errors
-/// None yet.
-pub fn run(_arguments: &Arguments) -> Result<(), Error> {
-    Ok(())
+/// A bad file, or results that cannot be written.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    let text =
+        fs::read_to_string(&arguments.file).map_err(|error| Error::Read(arguments.file.clone(), error))?;
+    let records = simulate(parse(&text)?, arguments.seed)?;
+    if let Some(path) = &arguments.json {
+        write_json(path, &records).map_err(|error| Error::Write(path.clone(), error))?;
+    }
+    write!(io::stdout().lock(), "{}", table::Table(&records)).map_err(Error::Print)
+}
+
+fn write_json(path: &Path, records: &[Record]) -> io::Result<()> {
+    let mut file = io::BufWriter::new(fs::File::create(path)?);
+    for record in records {
+        serde_json::to_writer(&mut file, record)?;
+        file.write_all(b"\n")?;
+    }
+    file.flush()
 }
--- /dev/null
+++ b/lab/src/fleet/report.rs
@@ -0,0 +1,253 @@
+//! The results of a run: records for the JSON file, and a table for people.
+
+use super::measures::{
+    AttemptCounts, CounterCallCounts, FleetCounts, InsideWorth, QuotaCounts, SecondCounts, Traffic,
+    WishCounts,
+};
+use super::processor::ProcessorSummary;
+use super::simulation::Outcome;
+use super::tenants::Tenant;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Share of its burst by which a ceiling may be overdrawn.
+pub const CEILING_SLACK: f64 = 0.1;
+
+/// Sizes of the run.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RunRecord {
+    /// The seed.
+    pub seed: u64,
+    /// Seconds in which requests arrived.
+    pub seconds: f64,
+    /// Gatekeepers.
+    pub gatekeepers: usize,
+    /// Workers at the start.
+    pub workers: u32,
+    /// Tenants.
+    pub tenants: usize,
+    /// Requests a second that the tenants ask for on average.
+    pub nominal_requests_per_second: f64,
+}
+
+/// Times of the answers that served, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct LatencyRecord {
+    /// Mean.
+    pub mean: f64,
+    /// Median.
+    pub p50: f64,
+    /// 90 of 100 stay within it.
+    pub p90: f64,
+    /// 99 of 100.
+    pub p99: f64,
+    /// 999 of 1000.
+    pub p999: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// What was passed, against the true quotas and ceilings.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct QuotaRecord {
+    /// Units and worth.
+    #[serde(flatten)]
+    pub counts: QuotaCounts,
+    /// Tenants under a ceiling.
+    pub ceilings: usize,
+    /// Those of them whose ceiling was overdrawn by more than its slack.
+    pub ceilings_broken: usize,
+    /// The lowest level of any ceiling, as a share of its burst; 1 without any.
+    pub lowest_ceiling: f64,
+}
+
+/// Messages of one role, both ways.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct TrafficRecord {
+    /// The role.
+    pub role: &'static str,
+    /// Messages a second.
+    pub messages_per_second: f64,
+    /// Bytes a second.
+    pub bytes_per_second: f64,
+}
+
+/// Calls a try.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct PerTryRecord {
+    /// Tries that reached a gatekeeper.
+    pub tries: u64,
+    /// Attempts at workers.
+    pub attempts: f64,
+    /// Counter calls.
+    pub counter_calls: f64,
+}
+
+/// What gatekeepers hold.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct StateRecord {
+    /// Most requests open in the whole fleet at once.
+    pub fleet_open_max: usize,
+    /// Most requests open at one gatekeeper at once.
+    pub gatekeeper_open_max: usize,
+    /// Tenants that a gatekeeper met, on average.
+    pub tenants_mean: f64,
+    /// Most tenants that one met.
+    pub tenants_max: usize,
+    /// Workers that a gatekeeper lists at the end, on average.
+    pub workers_listed_mean: f64,
+    /// Those of them that it avoids.
+    pub workers_avoided_mean: f64,
+    /// Names that the counter holds at the end.
+    pub counter_names: usize,
+}
+
+/// Processor time; the only record that differs between two runs of one file and seed.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ProcessorRecord {
+    /// The policy's time.
+    #[serde(flatten)]
+    pub policy: ProcessorSummary,
+    /// Time that the whole run took.
+    pub run_wall_seconds: f64,
+}
+
+/// One line of the JSON file.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "record", rename_all = "snake_case")]
+pub enum Record {
+    /// Sizes.
+    Run(RunRecord),
+    /// Wishes of clients.
+    Wishes(WishCounts),
+    /// Latency.
+    Latency(LatencyRecord),
+    /// Quotas and ceilings.
+    Quotas(QuotaRecord),
+    /// Worth inside quotas.
+    InsideWorth(InsideWorth),
+    /// Attempts at workers.
+    Attempts(AttemptCounts),
+    /// Counter calls.
+    CounterCalls(CounterCallCounts),
+    /// Calls a try.
+    PerTry(PerTryRecord),
+    /// Lists and restarts.
+    Fleet(FleetCounts),
+    /// Messages of a role.
+    Traffic(TrafficRecord),
+    /// State.
+    State(StateRecord),
+    /// One second.
+    Second {
+        /// Its number, from 0.
+        second: usize,
+        /// Its counts.
+        #[serde(flatten)]
+        counts: SecondCounts,
+    },
+    /// Processor time.
+    Processor(ProcessorRecord),
+}
+
+/// All records of a run, that of processor times last.
+pub fn records(outcome: &Outcome, seed: u64, run_wall_seconds: f64) -> Vec<Record> {
+    let measures = &outcome.measures;
+    let mut records = vec![
+        Record::Run(run_record(outcome, seed)),
+        Record::Wishes(measures.wishes),
+        Record::Latency(latency_record(&measures.latency)),
+        Record::Quotas(quota_record(measures.quotas, &outcome.tenants)),
+        Record::InsideWorth(measures.inside),
+        Record::Attempts(measures.attempts),
+        Record::CounterCalls(measures.counter_calls),
+        Record::PerTry(per_try_record(outcome)),
+        Record::Fleet(measures.fleet),
+    ];
+    records.extend(traffic_records(outcome).into_iter().map(Record::Traffic));
+    records.push(Record::State(state_record(outcome)));
+    let seconds = measures.seconds.iter().enumerate();
+    records.extend(seconds.map(|(second, counts)| Record::Second { second, counts: *counts }));
+    records.push(Record::Processor(ProcessorRecord { policy: outcome.times.summary(), run_wall_seconds }));
+    records
+}
+
+fn run_record(outcome: &Outcome, seed: u64) -> RunRecord {
+    RunRecord {
+        seed,
+        seconds: outcome.configuration.seconds,
+        gatekeepers: outcome.gatekeepers.len(),
+        workers: outcome.configuration.workers.count,
+        tenants: outcome.tenants.len(),
+        nominal_requests_per_second: outcome.tenants.iter().map(Tenant::mean_requests_per_second).sum(),
+    }
+}
+
+fn latency_record(latency: &Histogram<u64>) -> LatencyRecord {
+    let milliseconds = |quantile: f64| latency.value_at_quantile(quantile) as f64 / 1e3;
+    LatencyRecord {
+        mean: latency.mean() / 1e3,
+        p50: milliseconds(0.5),
+        p90: milliseconds(0.9),
+        p99: milliseconds(0.99),
+        p999: milliseconds(0.999),
+        max: latency.max() as f64 / 1e3,
+    }
+}
+
+fn quota_record(counts: QuotaCounts, tenants: &[Tenant]) -> QuotaRecord {
+    let levels: Vec<f64> = tenants.iter().filter(|t| t.ceiling.is_some()).map(|t| t.lowest_ceiling).collect();
+    QuotaRecord {
+        counts,
+        ceilings: levels.len(),
+        ceilings_broken: levels.iter().filter(|level| **level < -CEILING_SLACK).count(),
+        lowest_ceiling: levels.iter().copied().fold(1.0, f64::min),
+    }
+}
+
+fn per_try_record(outcome: &Outcome) -> PerTryRecord {
+    let tries = outcome.measures.tries;
+    let per_try = |count: u64| count as f64 / tries.max(1) as f64;
+    PerTryRecord {
+        tries,
+        attempts: per_try(outcome.measures.attempts.sent),
+        counter_calls: per_try(outcome.measures.counter_calls.made),
+    }
+}
+
+fn traffic_records(outcome: &Outcome) -> Vec<TrafficRecord> {
+    let record = |role, messages: f64, bytes: f64| TrafficRecord {
+        role,
+        messages_per_second: messages / outcome.configuration.seconds,
+        bytes_per_second: bytes / outcome.configuration.seconds,
+    };
+    let whole = |role, traffic: Traffic| record(role, traffic.messages as f64, traffic.bytes as f64);
+    let mut all = Traffic::default();
+    outcome.gatekeepers.iter().for_each(|gatekeeper| all += gatekeeper.traffic);
+    let count = outcome.gatekeepers.len().max(1) as f64;
+    let busiest = outcome.gatekeepers.iter().map(|g| g.traffic).max_by_key(|t| t.messages);
+    let traffic = &outcome.measures.traffic;
+    vec![
+        whole("gatekeepers", all),
+        record("gatekeeper_mean", all.messages as f64 / count, all.bytes as f64 / count),
+        whole("gatekeeper_max", busiest.unwrap_or_default()),
+        whole("counter", traffic.counter),
+        whole("discovery", traffic.discovery),
+        whole("workers", traffic.workers),
+    ]
+}
+
+fn state_record(outcome: &Outcome) -> StateRecord {
+    let gatekeepers = &outcome.gatekeepers;
+    let count = gatekeepers.len().max(1) as f64;
+    let targets: Vec<_> = gatekeepers.iter().map(|g| g.targets(outcome.end)).collect();
+    StateRecord {
+        fleet_open_max: outcome.measures.most_open,
+        gatekeeper_open_max: gatekeepers.iter().map(|g| g.most_open).max().unwrap_or(0),
+        tenants_mean: gatekeepers.iter().map(|g| g.tenants()).sum::<usize>() as f64 / count,
+        tenants_max: gatekeepers.iter().map(|g| g.tenants()).max().unwrap_or(0),
+        workers_listed_mean: targets.iter().map(|t| t.listed).sum::<usize>() as f64 / count,
+        workers_avoided_mean: targets.iter().map(|t| t.avoided).sum::<usize>() as f64 / count,
+        counter_names: outcome.counter_names,
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/table.rs
@@ -0,0 +1,148 @@
+//! Prints the records of a run as a table.
+
+use super::report::{ProcessorRecord, QuotaRecord, Record, RunRecord, StateRecord};
+use std::fmt::{self, Display};
+
+/// Width of a row's name.
+const NAME_WIDTH: usize = 34;
+
+/// The table of a run. Seconds are left to the JSON file.
+#[derive(Debug, Clone, Copy)]
+pub struct Table<'a>(pub &'a [Record]);
+
+impl Display for Table<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|record| write_record(f, record))
+    }
+}
+
+fn row(f: &mut fmt::Formatter<'_>, name: &str, value: impl Display) -> fmt::Result {
+    writeln!(f, "  {name:<NAME_WIDTH$} {value}")
+}
+
+fn number(value: f64) -> String {
+    format!("{value:.3}")
+}
+
+fn share(part: u64, whole: u64) -> String {
+    format!("{part} ({:.2}%)", 100.0 * part as f64 / whole.max(1) as f64)
+}
+
+fn worth_share(part: f64, whole: f64) -> String {
+    let percent = if whole > 0.0 { 100.0 * part / whole } else { 0.0 };
+    format!("{part:.1} ({percent:.2}%)")
+}
+
+fn write_record(f: &mut fmt::Formatter<'_>, record: &Record) -> fmt::Result {
+    match record {
+        Record::Run(run) => write_run(f, run),
+        Record::Wishes(wishes) => {
+            writeln!(f, "requests of clients, retries included in them")?;
+            row(f, "asked", wishes.asked)?;
+            row(f, "served in time", share(wishes.served, wishes.asked))?;
+            row(f, "served late", share(wishes.served_late, wishes.asked))?;
+            row(f, "refused", share(wishes.refused, wishes.asked))?;
+            row(f, "failed", share(wishes.failed, wishes.asked))?;
+            row(f, "abandoned", share(wishes.abandoned, wishes.asked))?;
+            row(f, "lost with a gatekeeper", share(wishes.lost, wishes.asked))
+        }
+        Record::Latency(latency) => {
+            writeln!(f, "latency of served requests, ms")?;
+            row(f, "mean", number(latency.mean))?;
+            row(f, "p50 / p90", format!("{:.3} / {:.3}", latency.p50, latency.p90))?;
+            row(f, "p99 / p99.9", format!("{:.3} / {:.3}", latency.p99, latency.p999))?;
+            row(f, "max", number(latency.max))
+        }
+        Record::Quotas(quotas) => write_quotas(f, quotas),
+        Record::InsideWorth(worth) => {
+            writeln!(f, "worth asked for inside quotas")?;
+            row(f, "asked", format!("{:.1}", worth.asked))?;
+            row(f, "served in time", worth_share(worth.served, worth.asked))?;
+            row(f, "refused", worth_share(worth.refused, worth.asked))?;
+            row(f, "late, failed, abandoned or lost", worth_share(worth.otherwise, worth.asked))
+        }
+        Record::Attempts(attempts) => {
+            writeln!(f, "attempts at workers")?;
+            row(f, "sent", attempts.sent)?;
+            row(f, "ok", share(attempts.ok, attempts.sent))?;
+            row(f, "full", share(attempts.full, attempts.sent))?;
+            row(f, "timeout", share(attempts.timeout, attempts.sent))?;
+            row(f, "connection failed / reset", format!("{} / {}", attempts.connect_failed, attempts.reset))?;
+            row(f, "cancelled", attempts.cancelled)
+        }
+        Record::CounterCalls(calls) => {
+            writeln!(f, "counter calls")?;
+            row(f, "made", calls.made)?;
+            row(f, "ok", share(calls.ok, calls.made))?;
+            row(f, "full", share(calls.full, calls.made))?;
+            row(f, "timeout", share(calls.timeout, calls.made))?;
+            row(f, "added in vain / names lost", format!("{} / {}", calls.added_in_vain, calls.names_lost))
+        }
+        Record::PerTry(per_try) => {
+            writeln!(f, "per try at a gatekeeper")?;
+            row(f, "tries", per_try.tries)?;
+            row(f, "attempts a try", number(per_try.attempts))?;
+            row(f, "counter calls a try", number(per_try.counter_calls))
+        }
+        Record::Fleet(fleet) => {
+            writeln!(f, "fleet")?;
+            row(f, "list changes / whole lists", format!("{} / {}", fleet.list_changes, fleet.lists_told))?;
+            row(f, "list calls failed", fleet.list_calls_failed)?;
+            row(f, "gatekeeper restarts", fleet.restarts)
+        }
+        Record::Traffic(traffic) => {
+            let (messages, bytes) = (traffic.messages_per_second, traffic.bytes_per_second);
+            let value = format!("{messages:>14.1} messages/s {bytes:>16.0} bytes/s");
+            row(f, &format!("traffic of {}", traffic.role), value)
+        }
+        Record::State(state) => write_state(f, state),
+        Record::Second { .. } => Ok(()),
+        Record::Processor(processor) => write_processor(f, processor),
+    }
+}
+
+fn write_run(f: &mut fmt::Formatter<'_>, run: &RunRecord) -> fmt::Result {
+    writeln!(f, "run")?;
+    row(f, "seed / seconds", format!("{} / {}", run.seed, run.seconds))?;
+    let sizes = format!("{} / {} / {}", run.gatekeepers, run.workers, run.tenants);
+    row(f, "gatekeepers / workers / tenants", sizes)?;
+    row(f, "nominal requests a second", format!("{:.1}", run.nominal_requests_per_second))
+}
+
+fn write_quotas(f: &mut fmt::Formatter<'_>, quotas: &QuotaRecord) -> fmt::Result {
+    let counts = &quotas.counts;
+    let units = counts.units_inside + counts.units_beyond;
+    writeln!(f, "units sent to workers, against the true quotas")?;
+    row(f, "inside", worth_share(counts.units_inside, units))?;
+    row(f, "beyond", worth_share(counts.units_beyond, units))?;
+    row(f, "worth beyond / its price", format!("{:.1} / {:.1}", counts.worth_beyond, counts.overrun_cost))?;
+    row(f, "ceilings / broken", format!("{} / {}", quotas.ceilings, quotas.ceilings_broken))?;
+    row(f, "lowest ceiling, share of its burst", number(quotas.lowest_ceiling))
+}
+
+fn write_state(f: &mut fmt::Formatter<'_>, state: &StateRecord) -> fmt::Result {
+    let open = format!("{} / {}", state.fleet_open_max, state.gatekeeper_open_max);
+    let tenants = format!("{:.1} / {}", state.tenants_mean, state.tenants_max);
+    let workers = format!("{:.1} / {:.1}", state.workers_listed_mean, state.workers_avoided_mean);
+    writeln!(f, "state")?;
+    row(f, "most open: fleet / one gatekeeper", open)?;
+    row(f, "tenants met: mean / max", tenants)?;
+    row(f, "workers: listed / avoided, mean", workers)?;
+    row(f, "names at the counter", state.counter_names)
+}
+
+fn write_processor(f: &mut fmt::Formatter<'_>, processor: &ProcessorRecord) -> fmt::Result {
+    let policy = &processor.policy;
+    writeln!(f, "processor time of the policy, differs from run to run")?;
+    row(f, "a request and its outcomes, us", number(policy.microseconds_per_request))?;
+    for times in &policy.by_event {
+        let value = format!(
+            "{:>10} x  mean {:.2}  p99 {:.2}  max {:.2} us",
+            times.count, times.mean_microseconds, times.p99_microseconds, times.max_microseconds
+        );
+        row(f, times.event, value)?;
+    }
+    row(f, "whole policy / whole run, s", {
+        format!("{:.1} / {:.1}", policy.total_seconds, processor.run_wall_seconds)
+    })
+}
--- /dev/null
+++ b/lab/src/fleet/validation.rs
@@ -0,0 +1,254 @@
+//! Checks a configuration before a run: sizes that no run could have end in an error, not in a panic.
+
+use super::configuration::{Configuration, Fault};
+use std::fmt;
+
+/// Most gatekeepers of a run.
+pub const MAX_GATEKEEPERS: u32 = 1_024;
+/// Most workers of a run.
+pub const MAX_WORKERS: u32 = 16_384;
+/// Most tenants of a run.
+pub const MAX_TENANTS: u32 = 65_536;
+/// Most zones of a run.
+pub const MAX_ZONES: u32 = 64;
+/// Longest run, in simulated seconds.
+pub const MAX_SECONDS: f64 = 3_600.0;
+/// Most units of one request.
+pub const MAX_UNITS: u32 = 1_000;
+/// Largest rate, burst or factor.
+const MAX_FIGURE: f64 = 1e9;
+/// Largest body, as the protocol has it.
+const MAX_BODY: u64 = 65_536;
+/// Most restarts of one fault.
+const MAX_RESTARTS: u32 = 100_000;
+
+/// A figure that no run can have.
+#[derive(Debug, Clone, PartialEq)]
+pub struct InvalidFigure {
+    /// The key in the file.
+    pub key: &'static str,
+    /// What it holds.
+    pub value: f64,
+    /// What it must be.
+    pub wanted: &'static str,
+}
+
+impl fmt::Display for InvalidFigure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is {}, but must be {}", self.key, self.value, self.wanted)
+    }
+}
+
+impl std::error::Error for InvalidFigure {}
+
+type Check = Result<(), InvalidFigure>;
+
+fn require(holds: bool, key: &'static str, value: f64, wanted: &'static str) -> Check {
+    if holds { Ok(()) } else { Err(InvalidFigure { key, value, wanted }) }
+}
+
+fn count(key: &'static str, value: u32, most: u32) -> Check {
+    require((1..=most).contains(&value), key, f64::from(value), "from 1 to the limit (see --help)")
+}
+
+fn positive(key: &'static str, value: f64) -> Check {
+    require(value > 0.0 && value <= MAX_FIGURE, key, value, "above 0 and at most 1e9")
+}
+
+fn not_negative(key: &'static str, value: f64) -> Check {
+    require((0.0..=MAX_FIGURE).contains(&value), key, value, "from 0 to 1e9")
+}
+
+fn share(key: &'static str, value: f64) -> Check {
+    require((0.0..=1.0).contains(&value), key, value, "from 0 to 1")
+}
+
+fn seconds(key: &'static str, value: f64) -> Check {
+    require((0.0..=MAX_SECONDS).contains(&value), key, value, "from 0 to 3600 seconds")
+}
+
+fn range(key: &'static str, [least, most]: [f64; 2]) -> Check {
+    not_negative(key, least)?;
+    not_negative(key, most)?;
+    require(least <= most, key, least, "a range whose first end is not above its second")
+}
+
+fn weights(key: &'static str, mut values: impl Iterator<Item = f64>) -> Check {
+    let sum = values.try_fold(0.0, |sum, value| not_negative(key, value).map(|()| sum + value))?;
+    require(sum > 0.0, key, sum, "above 0 in the sum of the entries")
+}
+
+/// Checks all figures.
+///
+/// # Errors
+/// The first figure that no run can have.
+pub fn check(configuration: &Configuration) -> Check {
+    require(configuration.seconds > 0.0, "seconds", configuration.seconds, "above 0")?;
+    seconds("seconds", configuration.seconds)?;
+    check_topology(configuration)?;
+    check_workers(configuration)?;
+    check_services(configuration)?;
+    check_tenants(configuration)?;
+    check_clients(configuration)?;
+    check_classes(configuration)?;
+    check_plans(configuration)?;
+    check_usage(configuration)?;
+    configuration.faults.iter().try_for_each(|fault| check_fault(configuration, fault))
+}
+
+fn check_topology(configuration: &Configuration) -> Check {
+    let topology = &configuration.topology;
+    count("topology.zones", topology.zones, MAX_ZONES)?;
+    count("topology.regions", topology.regions, topology.zones)?;
+    seconds("topology.delay_in_zone", topology.delay_in_zone)?;
+    seconds("topology.delay_in_region", topology.delay_in_region)?;
+    seconds("topology.delay_between_regions", topology.delay_between_regions)?;
+    count("gatekeepers.count", configuration.gatekeepers.count, MAX_GATEKEEPERS)?;
+    seconds("gatekeepers.restart_seconds", configuration.gatekeepers.restart_seconds)?;
+    require(configuration.policy.count_limit > 0.0, "policy.count_limit", 0.0, "above 0")?;
+    seconds("policy.count_limit", configuration.policy.count_limit)?;
+    count("policy.max_attempts", configuration.policy.max_attempts, 100)?;
+    seconds("policy.max_retry_after", configuration.policy.max_retry_after)
+}
+
+fn check_workers(configuration: &Configuration) -> Check {
+    let workers = &configuration.workers;
+    count("workers.count", workers.count, MAX_WORKERS)?;
+    count("workers.cells", workers.cells, MAX_WORKERS)?;
+    count("workers.slots", workers.slots, 10_000)?;
+    require(workers.queue <= 1_000_000, "workers.queue", f64::from(workers.queue), "at most 1000000")?;
+    seconds("workers.service_seconds", workers.service_seconds)?;
+    seconds("workers.service_seconds_per_unit", workers.service_seconds_per_unit)?;
+    share("workers.service_variation", workers.service_variation)?;
+    require(workers.cold_from > 0.0, "workers.cold_from", workers.cold_from, "above 0")?;
+    share("workers.cold_from", workers.cold_from)?;
+    seconds("workers.cold_seconds", workers.cold_seconds)?;
+    not_negative("workers.fall_multiple", workers.fall_multiple)?;
+    seconds("workers.fall_seconds", workers.fall_seconds)
+}
+
+fn check_services(configuration: &Configuration) -> Check {
+    let discovery = &configuration.discovery;
+    range("discovery.lateness", discovery.lateness)?;
+    positive("discovery.calls_per_second", discovery.calls_per_second)?;
+    seconds("discovery.give_up_after", discovery.give_up_after)?;
+    positive("discovery.watch_seconds", discovery.watch_seconds)?;
+    let Some(counter) = &configuration.counter else { return Ok(()) };
+    count("counter.parts", counter.parts, 1_000)?;
+    positive("counter.calls_per_second", counter.calls_per_second)?;
+    seconds("counter.delay", counter.delay)
+}
+
+fn check_tenants(configuration: &Configuration) -> Check {
+    let tenants = &configuration.tenants;
+    count("tenants.count", tenants.count, MAX_TENANTS)?;
+    count("tenants.max_units", tenants.max_units, MAX_UNITS)?;
+    let [least, most] = tenants.spread;
+    require(least >= 1, "tenants.spread", f64::from(least), "1 at least")?;
+    require(least <= most, "tenants.spread", f64::from(least), "a range in rising order")?;
+    let gatekeepers = configuration.gatekeepers.count;
+    require(most <= gatekeepers, "tenants.spread", f64::from(most), "no more than gatekeepers.count")?;
+    range("tenants.skew", tenants.skew)
+}
+
+fn check_clients(configuration: &Configuration) -> Check {
+    let clients = &configuration.clients;
+    require(clients.max_retries <= 100, "clients.max_retries", clients.max_retries.into(), "at most 100")?;
+    share("clients.retry_share", clients.retry_share)?;
+    seconds("clients.retry_seconds", clients.retry_seconds)?;
+    seconds("clients.front_notices_after", clients.front_notices_after)?;
+    for (key, body) in
+        [("clients.request_body", clients.request_body), ("clients.answer_body", clients.answer_body)]
+    {
+        require(body <= MAX_BODY, key, body as f64, "at most 65536 bytes")?;
+    }
+    Ok(())
+}
+
+fn check_classes(configuration: &Configuration) -> Check {
+    weights("classes.share", configuration.classes.iter().map(|c| c.share))?;
+    for class in &configuration.classes {
+        positive("classes.aim", class.aim)?;
+        share("classes.late_worth", class.late_worth)?;
+        positive("classes.deadline", class.deadline)?;
+        seconds("classes.deadline", class.deadline)?;
+        not_negative("classes.worth", class.worth)?;
+        seconds("classes.window", class.window)?;
+    }
+    Ok(())
+}
+
+fn check_plans(configuration: &Configuration) -> Check {
+    weights("plans.share", configuration.plans.iter().map(|p| p.share))?;
+    let largest = f64::from(configuration.tenants.max_units);
+    for plan in &configuration.plans {
+        positive("plans.rate", plan.rate)?;
+        not_negative("plans.burst", plan.burst)?;
+        require(plan.burst >= largest, "plans.burst", plan.burst, "at least tenants.max_units")?;
+        not_negative("plans.pays", plan.pays)?;
+        not_negative("plans.excess_worth", plan.excess_worth)?;
+        not_negative("plans.overrun_cost", plan.overrun_cost)?;
+        not_negative("plans.ceiling_rate", plan.ceiling_rate)?;
+        not_negative("plans.ceiling_burst", plan.ceiling_burst)?;
+        let has_burst = plan.ceiling_rate == 0.0 || plan.ceiling_burst > 0.0;
+        require(has_burst, "plans.ceiling_burst", plan.ceiling_burst, "above 0 under a ceiling")?;
+    }
+    Ok(())
+}
+
+fn check_usage(configuration: &Configuration) -> Check {
+    weights("usage.share", configuration.usage.iter().map(|u| u.share))?;
+    for usage in &configuration.usage {
+        range("usage.of_rate", usage.of_rate)?;
+        require(usage.spike_factor >= 1.0, "usage.spike_factor", usage.spike_factor, "1 at least")?;
+        positive("usage.spike_factor", usage.spike_factor)?;
+        seconds("usage.spike_every", usage.spike_every)?;
+        let fits = (0.0..=usage.spike_every).contains(&usage.spike_seconds);
+        require(fits, "usage.spike_seconds", usage.spike_seconds, "from 0 to spike_every")?;
+    }
+    Ok(())
+}
+
+fn span(start: f64, end: f64) -> Check {
+    seconds("faults.at", start)?;
+    seconds("faults.until", end)?;
+    require(start <= end, "faults.until", end, "no earlier than the fault's begin")
+}
+
+fn fault_zone(configuration: &Configuration, zone: u32) -> Check {
+    let known = zone < configuration.topology.zones;
+    require(known, "faults.zone", f64::from(zone), "below topology.zones")
+}
+
+fn check_fault(configuration: &Configuration, fault: &Fault) -> Check {
+    match *fault {
+        Fault::RestartAtOnce { at, share: part } | Fault::ForgetCounts { at, share: part } => {
+            seconds("faults.at", at)?;
+            share("faults.share", part)
+        }
+        Fault::RestartOneByOne { from, until, count } => {
+            span(from, until)?;
+            require(count <= MAX_RESTARTS, "faults.count", f64::from(count), "at most 100000")
+        }
+        Fault::ReplaceWorkers { from, until, count } => {
+            span(from, until)?;
+            let fits = count <= configuration.workers.count;
+            require(fits, "faults.count", f64::from(count), "no more than workers.count")
+        }
+        Fault::LoseZone { at, until, zone } | Fault::CutCounter { at, until, zone } => {
+            span(at, until)?;
+            fault_zone(configuration, zone)
+        }
+        Fault::SlowCounter { at, until, factor } => {
+            span(at, until)?;
+            positive("faults.factor", factor)
+        }
+        Fault::SilenceCounter { at, until } => span(at, until),
+        Fault::CrashWorkers { at, until, share: part }
+        | Fault::HangWorkers { at, until, share: part }
+        | Fault::DrainWorkers { at, until, share: part } => {
+            span(at, until)?;
+            share("faults.share", part)
+        }
+    }
+}
