Test the simulated fleet, and count the counter's line exactly

The counter compared its queue limit with a quotient of times, so rounding turned away the last call that still fits. Each part now keeps the ends of its calls' turns and counts them.

--- a/lab/src/fleet/counter.rs
+++ b/lab/src/fleet/counter.rs
@@ -3,7 +3,7 @@
 use super::configuration;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use weirusher::Time;
 
 /// What becomes of a call that has reached the counter.
@@ -26,13 +26,18 @@
     expires: Time,
 }
 
+/// One part: for each call in its line, when its turn is over.
+#[derive(Debug, Clone, Default)]
+struct Part {
+    turns: VecDeque<Time>,
+}
+
 /// The counter service.
 #[derive(Debug)]
 pub struct Counter {
     call_seconds: f64,
-    queue: f64,
-    /// For each part, when it has worked off its queue.
-    free_at: Vec<Time>,
+    queue: usize,
+    parts: Vec<Part>,
     counts: BTreeMap<u64, Count>,
     slowdown: f64,
     silent: bool,
@@ -43,8 +48,8 @@
     pub fn new(configuration: &configuration::Counter) -> Self {
         Self {
             call_seconds: 1.0 / configuration.calls_per_second,
-            queue: f64::from(configuration.queue),
-            free_at: vec![0.0; configuration.parts as usize],
+            queue: configuration.queue as usize,
+            parts: vec![Part::default(); configuration.parts as usize],
             counts: BTreeMap::new(),
             slowdown: 1.0,
             silent: false,
@@ -56,14 +61,19 @@
         if self.silent {
             return Admission::Silent;
         }
-        let part = (name % self.free_at.len() as u64) as usize;
-        let seconds = self.call_seconds * self.slowdown;
-        let begins = self.free_at[part].max(now);
-        if (begins - now) / seconds > self.queue {
+        let index = (name % self.parts.len() as u64) as usize;
+        let part = &mut self.parts[index];
+        while part.turns.front().is_some_and(|turn| *turn <= now) {
+            part.turns.pop_front();
+        }
+        // The first of them is being served, the others wait.
+        if part.turns.len() > self.queue {
             return Admission::Full;
         }
-        self.free_at[part] = begins + seconds;
-        Admission::Served { at: self.free_at[part] }
+        let begins = part.turns.back().copied().unwrap_or(now);
+        let at = begins + self.call_seconds * self.slowdown;
+        part.turns.push_back(at);
+        Admission::Served { at }
     }
 
     /// Adds to a name when the call's turn is over, and gives the total. The first call sets the name's life.
--- a/lab/src/fleet/measures.rs
+++ b/lab/src/fleet/measures.rs
@@ -212,7 +212,7 @@
     pub fleet: FleetCounts,
     /// Traffic of services and workers.
     pub traffic: RoleTraffic,
-    /// Times of the answers that served, in microseconds.
+    /// Times of the answers that served, from the client's first try on, in microseconds.
     pub latency: Histogram<u64>,
     /// Most requests that were open in the fleet at once.
     pub most_open: usize,
--- a/lab/src/fleet/report.rs
+++ b/lab/src/fleet/report.rs
@@ -30,7 +30,7 @@
     pub nominal_requests_per_second: f64,
 }
 
-/// Times of the answers that served, in milliseconds.
+/// Times of the answers that served, from the client's first try on, in milliseconds.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct LatencyRecord {
     /// Mean.
--- a/lab/src/fleet/table.rs
+++ b/lab/src/fleet/table.rs
@@ -47,7 +47,7 @@
             row(f, "lost with a gatekeeper", share(wishes.lost, wishes.asked))
         }
         Record::Latency(latency) => {
-            writeln!(f, "latency of served requests, ms")?;
+            writeln!(f, "latency of served requests from their first try on, ms")?;
             row(f, "mean", number(latency.mean))?;
             row(f, "p50 / p90", format!("{:.3} / {:.3}", latency.p50, latency.p90))?;
             row(f, "p99 / p99.9", format!("{:.3} / {:.3}", latency.p99, latency.p999))?;
--- /dev/null
+++ b/lab/tests/fleet_runs.rs
@@ -0,0 +1,163 @@
+//! Whole runs of the simulated fleet.
+
+use oliverack_lab::fleet::configuration::{Configuration, DiscoveryMode, Fault};
+use oliverack_lab::fleet::measures::{
+    AttemptCounts, CounterCallCounts, FleetCounts, InsideWorth, WishCounts,
+};
+use oliverack_lab::fleet::report::{PerTryRecord, QuotaRecord, Record, StateRecord};
+use oliverack_lab::fleet::{parse, simulate};
+
+/// The small example for a few seconds.
+fn small() -> Configuration {
+    let text = include_str!("../experiments/small.toml");
+    let mut configuration = parse(text).expect("a usable example");
+    configuration.seconds = 8.0;
+    configuration
+}
+
+/// Tenants that ask for a part of their quota only.
+fn quiet() -> Configuration {
+    let mut configuration = small();
+    configuration.usage.truncate(1);
+    configuration
+}
+
+fn run(configuration: Configuration, seed: u64) -> Vec<Record> {
+    simulate(configuration, seed).expect("a run")
+}
+
+/// All records but those of processor times, as they stand in the JSON file.
+fn comparable(records: &[Record]) -> Vec<String> {
+    let compared = records.iter().filter(|record| !matches!(record, Record::Processor(_)));
+    compared.map(|record| serde_json::to_string(record).expect("a record")).collect()
+}
+
+/// The record of one kind.
+macro_rules! record {
+    ($records:expr, $kind:ident) => {
+        $records
+            .iter()
+            .find_map(|record| if let Record::$kind(found) = record { Some(found) } else { None })
+            .expect("each run has this record")
+    };
+}
+
+fn ended(wishes: &WishCounts) -> u64 {
+    let WishCounts { served, served_late, refused, failed, abandoned, lost, .. } = *wishes;
+    served + served_late + refused + failed + abandoned + lost
+}
+
+/// All kinds of faults, within eight seconds.
+fn every_fault() -> Vec<Fault> {
+    vec![
+        Fault::RestartAtOnce { at: 2.0, share: 0.5 },
+        Fault::RestartOneByOne { from: 1.0, until: 7.0, count: 5 },
+        Fault::LoseZone { at: 4.0, until: 5.5, zone: 1 },
+        Fault::CutCounter { at: 1.0, until: 3.0, zone: 0 },
+        Fault::SlowCounter { at: 1.0, until: 2.0, factor: 100.0 },
+        Fault::SilenceCounter { at: 3.0, until: 4.0 },
+        Fault::ForgetCounts { at: 3.5, share: 0.5 },
+        Fault::CrashWorkers { at: 1.0, until: 4.5, share: 0.1 },
+        Fault::HangWorkers { at: 2.0, until: 6.0, share: 0.1 },
+        Fault::DrainWorkers { at: 1.0, until: 3.0, share: 0.1 },
+        Fault::ReplaceWorkers { from: 2.0, until: 4.0, count: 4 },
+    ]
+}
+
+#[test]
+fn the_same_file_and_seed_give_the_same_numbers() {
+    let mut configuration = small();
+    configuration.faults = every_fault();
+    let [one, same, other] = [1, 1, 2].map(|seed| comparable(&run(configuration.clone(), seed)));
+    assert_eq!(one, same);
+    assert_ne!(one, other);
+}
+
+#[test]
+fn a_quiet_fleet_serves_what_is_inside_quotas_and_breaks_no_ceiling() {
+    let mut configuration = quiet();
+    configuration.plans.iter_mut().for_each(|plan| {
+        (plan.ceiling_rate, plan.ceiling_burst) = (2.0 * plan.rate, 2.0 * plan.burst);
+    });
+    let records = run(configuration, 3);
+    let (inside, quotas): (&InsideWorth, &QuotaRecord) =
+        (record!(records, InsideWorth), record!(records, Quotas));
+    assert!(inside.served >= 0.95 * inside.asked, "{inside:?}");
+    assert!(quotas.ceilings > 100, "{quotas:?}");
+    assert_eq!(quotas.ceilings_broken, 0, "{quotas:?}");
+}
+
+#[test]
+fn each_wish_ends_once_whatever_goes_wrong() {
+    let mut configuration = small();
+    configuration.faults = every_fault();
+    let records = run(configuration, 5);
+    let (wishes, fleet): (&WishCounts, &FleetCounts) = (record!(records, Wishes), record!(records, Fleet));
+    assert_eq!(ended(wishes), wishes.asked, "{wishes:?}");
+    assert!(wishes.lost > 0 && wishes.served > wishes.asked / 2, "{wishes:?}");
+    assert!(fleet.restarts >= 6 && fleet.list_changes >= 12, "{fleet:?}");
+    let attempts: &AttemptCounts = record!(records, Attempts);
+    assert!(attempts.connect_failed + attempts.reset + attempts.timeout > 0, "{attempts:?}");
+}
+
+#[test]
+fn seconds_add_up_to_the_whole() {
+    let records = run(small(), 7);
+    let wishes: &WishCounts = record!(records, Wishes);
+    let attempts: &AttemptCounts = record!(records, Attempts);
+    let (mut asked, mut done, mut sent) = (0, 0, 0);
+    for record in &records {
+        if let Record::Second { counts, .. } = record {
+            asked += counts.wishes.asked;
+            done += ended(&counts.wishes);
+            sent += counts.attempts;
+        }
+    }
+    assert_eq!((asked, done, sent), (wishes.asked, ended(wishes), attempts.sent));
+}
+
+#[test]
+fn a_silent_counter_answers_nothing_and_a_full_one_says_so() {
+    let mut silent = quiet();
+    silent.faults = vec![Fault::SilenceCounter { at: 0.0, until: 60.0 }];
+    let records = run(silent, 1);
+    let calls: &CounterCallCounts = record!(records, CounterCalls);
+    assert!(calls.made > 0 && calls.timeout == calls.made, "{calls:?}");
+
+    let mut narrow = quiet();
+    narrow.counter.iter_mut().for_each(|counter| (counter.calls_per_second, counter.queue) = (20.0, 1));
+    let records = run(narrow, 1);
+    let calls: &CounterCallCounts = record!(records, CounterCalls);
+    assert!(calls.full > 0 && calls.ok > 0, "{calls:?}");
+    assert_eq!(calls.ok + calls.full + calls.timeout, calls.made);
+}
+
+#[test]
+fn a_slow_counter_adds_calls_that_nobody_waits_for() {
+    let mut slow = quiet();
+    slow.faults = vec![Fault::SlowCounter { at: 0.0, until: 60.0, factor: 50.0 }];
+    let records = run(slow, 1);
+    let calls: &CounterCallCounts = record!(records, CounterCalls);
+    assert!(calls.timeout > 0 && calls.added_in_vain > 0, "{calls:?}");
+}
+
+#[test]
+fn without_a_counter_none_is_called() {
+    let mut alone = quiet();
+    alone.counter = None;
+    let records = run(alone, 1);
+    let per_try: &PerTryRecord = record!(records, PerTry);
+    assert!(per_try.counter_calls == 0.0 && per_try.attempts > 0.0, "{per_try:?}");
+}
+
+#[test]
+fn an_asked_list_reaches_every_gatekeeper_in_the_end() {
+    let mut configuration = quiet();
+    configuration.discovery.mode = DiscoveryMode::Ask;
+    configuration.faults = vec![Fault::ReplaceWorkers { from: 3.0, until: 3.5, count: 3 }];
+    let records = run(configuration, 1);
+    let (fleet, state): (&FleetCounts, &StateRecord) = (record!(records, Fleet), record!(records, State));
+    assert!(fleet.lists_told >= 12, "{fleet:?}");
+    assert_eq!(fleet.list_changes, 9);
+    assert_eq!((state.workers_listed_mean, state.workers_avoided_mean), (24.0, 0.0));
+}
