Bound the expected load of a simulated fleet, and tell list changes from whole lists

A file could ask for more requests than any run would finish; the expected load is now limited. Processor times of a change of the list and of a whole list stand apart, and a worker that has drained can no longer start again.

--- a/lab/src/fleet/gatekeepers.rs
+++ b/lab/src/fleet/gatekeepers.rs
@@ -6,7 +6,7 @@
 use super::processor::{ProcessorTimes, Work};
 use std::collections::HashSet;
 use std::time::Instant;
-use weirusher::{Action, Class, Effect, Event, Gateway, Group, JobId, Plan, Settings, SettingsError, Time};
+use weirusher::{Action, Class, Effect, Event, Gateway, Group, Plan, Settings, SettingsError, Time};
 
 /// One gatekeeper.
 #[derive(Debug)]
@@ -170,8 +170,3 @@
     /// Its life.
     pub life: u32,
 }
-
-/// A request that the policy names, by the number that the model gave it.
-pub fn request_number(job: &JobId) -> u64 {
-    super::requests::number_of(job).expect("the policy names no request but those that it was given")
-}
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -58,7 +58,8 @@
                       | \"forget-counts\" (at, share) | \"crash-workers\" (at, until, share)
                       | \"hang-workers\" (at, until, share) | \"drain-workers\" (at, until, share)
                       | \"replace-workers\" (from, until, count)
-The load follows from the tenants, their plans and their usage; the table shows it as nominal requests a second.
+The load follows from the tenants, their plans and their usage; the table shows it as nominal requests a second
+(at most 1000000). Bytes are those of the messages of HTTP and of the counter, without those of TCP.
 Examples are in lab/experiments/.";
 
 /// Arguments of the `fleet` command.
--- a/lab/src/fleet/processor.rs
+++ b/lab/src/fleet/processor.rs
@@ -3,7 +3,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::time::Duration;
-use weirusher::Event;
+use weirusher::{Event, ListKind};
 
 /// What the policy was doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -12,8 +12,10 @@
     Request,
     /// An attempt ended.
     Outcome,
-    /// A list or a change of the list came.
-    List,
+    /// A whole list came.
+    WholeList,
+    /// A change of the list came.
+    ListChange,
     /// A timer was due.
     Timer,
     /// A counter call ended.
@@ -23,15 +25,23 @@
 }
 
 impl Work {
-    const ALL: [Self; 6] =
-        [Self::Request, Self::Outcome, Self::List, Self::Timer, Self::Counted, Self::Other];
+    const ALL: [Self; 7] = [
+        Self::Request,
+        Self::Outcome,
+        Self::WholeList,
+        Self::ListChange,
+        Self::Timer,
+        Self::Counted,
+        Self::Other,
+    ];
 
     /// What an event means for the policy.
     pub fn of(event: &Event) -> Self {
         match event {
             Event::Request(_) => Self::Request,
             Event::Outcome { .. } => Self::Outcome,
-            Event::List { .. } => Self::List,
+            Event::List { kind: ListKind::Changes, .. } => Self::ListChange,
+            Event::List { .. } => Self::WholeList,
             Event::Timer { .. } => Self::Timer,
             Event::Counted { .. } => Self::Counted,
             _ => Self::Other,
@@ -42,7 +52,8 @@
         match self {
             Self::Request => "request",
             Self::Outcome => "outcome",
-            Self::List => "list",
+            Self::WholeList => "whole_list",
+            Self::ListChange => "list_change",
             Self::Timer => "timer",
             Self::Counted => "counted",
             Self::Other => "other",
--- a/lab/src/fleet/requests.rs
+++ b/lab/src/fleet/requests.rs
@@ -70,9 +70,12 @@
     number.to_string().into()
 }
 
-/// The number of a request that the policy names; `None` if it is none of ours.
-pub fn number_of(job: &JobId) -> Option<u64> {
-    job.parse().ok()
+/// The number of a request that the policy names.
+///
+/// # Panics
+/// If the policy names a request that it was never given.
+pub fn number_of(job: &JobId) -> u64 {
+    job.parse().expect("the policy names no request but those that it was given")
 }
 
 /// All open requests, by number.
--- a/lab/src/fleet/simulation/actions.rs
+++ b/lab/src/fleet/simulation/actions.rs
@@ -1,8 +1,8 @@
 //! Carries out what a policy wants done.
 
 use super::{Occurrence, Simulation};
-use crate::fleet::gatekeepers::{Address, request_number};
-use crate::fleet::requests::{Attempt, AttemptKey};
+use crate::fleet::gatekeepers::Address;
+use crate::fleet::requests::{Attempt, AttemptKey, number_of};
 use crate::fleet::wire_size;
 use weirusher::{Action, Event, Load, ServerId, Status};
 
@@ -10,12 +10,12 @@
     pub(super) fn carry_out(&mut self, from: Address, action: Action) {
         match action {
             Action::Send { job, server, timeout, .. } => {
-                self.send(from, request_number(&job), server, timeout);
+                self.send(from, number_of(&job), server, timeout);
             }
-            Action::Refuse { job, retry_after } => self.refuse(request_number(&job), retry_after),
-            Action::Fail { job } => self.fail(request_number(&job)),
+            Action::Refuse { job, retry_after } => self.refuse(number_of(&job), retry_after),
+            Action::Fail { job } => self.fail(number_of(&job)),
             Action::Cancel { job, attempt } => {
-                let attempt = AttemptKey { request: request_number(&job), attempt };
+                let attempt = AttemptKey { request: number_of(&job), attempt };
                 let ends = Occurrence::AttemptEnds { attempt, status: Status::Cancelled };
                 self.queue.schedule(self.queue.now(), ends);
             }
--- a/lab/src/fleet/simulation/incidents.rs
+++ b/lab/src/fleet/simulation/incidents.rs
@@ -79,7 +79,8 @@
                 self.kill(gatekeeper);
             }
         }
-        for worker in self.workers.iter_mut().filter(|w| w.zone == zone && w.condition != Condition::Down) {
+        let runs = |worker: &Worker| !matches!(worker.condition, Condition::Down | Condition::Gone);
+        for worker in self.workers.iter_mut().filter(|worker| worker.zone == zone && runs(worker)) {
             // Nobody hears of what it held.
             worker.stop(Condition::Unreachable);
         }
@@ -149,7 +150,7 @@
         if self.workers[worker].condition != Condition::Draining {
             return;
         }
-        for attempt in self.workers[worker].stop(Condition::Down) {
+        for attempt in self.workers[worker].stop(Condition::Gone) {
             self.answer_attempt(attempt, worker, Status::Reset);
         }
         self.tell_change(worker, Lifecycle::Gone);
--- a/lab/src/fleet/table.rs
+++ b/lab/src/fleet/table.rs
@@ -1,6 +1,7 @@
 //! Prints the records of a run as a table.
 
-use super::report::{ProcessorRecord, QuotaRecord, Record, RunRecord, StateRecord};
+use super::measures::{AttemptCounts, CounterCallCounts, InsideWorth, WishCounts};
+use super::report::{LatencyRecord, ProcessorRecord, QuotaRecord, Record, RunRecord, StateRecord};
 use std::fmt::{self, Display};
 
 /// Width of a row's name.
@@ -36,48 +37,12 @@
 fn write_record(f: &mut fmt::Formatter<'_>, record: &Record) -> fmt::Result {
     match record {
         Record::Run(run) => write_run(f, run),
-        Record::Wishes(wishes) => {
-            writeln!(f, "requests of clients, retries included in them")?;
-            row(f, "asked", wishes.asked)?;
-            row(f, "served in time", share(wishes.served, wishes.asked))?;
-            row(f, "served late", share(wishes.served_late, wishes.asked))?;
-            row(f, "refused", share(wishes.refused, wishes.asked))?;
-            row(f, "failed", share(wishes.failed, wishes.asked))?;
-            row(f, "abandoned", share(wishes.abandoned, wishes.asked))?;
-            row(f, "lost with a gatekeeper", share(wishes.lost, wishes.asked))
-        }
-        Record::Latency(latency) => {
-            writeln!(f, "latency of served requests from their first try on, ms")?;
-            row(f, "mean", number(latency.mean))?;
-            row(f, "p50 / p90", format!("{:.3} / {:.3}", latency.p50, latency.p90))?;
-            row(f, "p99 / p99.9", format!("{:.3} / {:.3}", latency.p99, latency.p999))?;
-            row(f, "max", number(latency.max))
-        }
+        Record::Wishes(wishes) => write_wishes(f, wishes),
+        Record::Latency(latency) => write_latency(f, latency),
         Record::Quotas(quotas) => write_quotas(f, quotas),
-        Record::InsideWorth(worth) => {
-            writeln!(f, "worth asked for inside quotas")?;
-            row(f, "asked", format!("{:.1}", worth.asked))?;
-            row(f, "served in time", worth_share(worth.served, worth.asked))?;
-            row(f, "refused", worth_share(worth.refused, worth.asked))?;
-            row(f, "late, failed, abandoned or lost", worth_share(worth.otherwise, worth.asked))
-        }
-        Record::Attempts(attempts) => {
-            writeln!(f, "attempts at workers")?;
-            row(f, "sent", attempts.sent)?;
-            row(f, "ok", share(attempts.ok, attempts.sent))?;
-            row(f, "full", share(attempts.full, attempts.sent))?;
-            row(f, "timeout", share(attempts.timeout, attempts.sent))?;
-            row(f, "connection failed / reset", format!("{} / {}", attempts.connect_failed, attempts.reset))?;
-            row(f, "cancelled", attempts.cancelled)
-        }
-        Record::CounterCalls(calls) => {
-            writeln!(f, "counter calls")?;
-            row(f, "made", calls.made)?;
-            row(f, "ok", share(calls.ok, calls.made))?;
-            row(f, "full", share(calls.full, calls.made))?;
-            row(f, "timeout", share(calls.timeout, calls.made))?;
-            row(f, "added in vain / names lost", format!("{} / {}", calls.added_in_vain, calls.names_lost))
-        }
+        Record::InsideWorth(worth) => write_inside_worth(f, worth),
+        Record::Attempts(attempts) => write_attempts(f, attempts),
+        Record::CounterCalls(calls) => write_counter_calls(f, calls),
         Record::PerTry(per_try) => {
             writeln!(f, "per try at a gatekeeper")?;
             row(f, "tries", per_try.tries)?;
@@ -101,6 +66,52 @@
     }
 }
 
+fn write_wishes(f: &mut fmt::Formatter<'_>, wishes: &WishCounts) -> fmt::Result {
+    writeln!(f, "requests of clients, retries included in them")?;
+    row(f, "asked", wishes.asked)?;
+    row(f, "served in time", share(wishes.served, wishes.asked))?;
+    row(f, "served late", share(wishes.served_late, wishes.asked))?;
+    row(f, "refused", share(wishes.refused, wishes.asked))?;
+    row(f, "failed", share(wishes.failed, wishes.asked))?;
+    row(f, "abandoned", share(wishes.abandoned, wishes.asked))?;
+    row(f, "lost with a gatekeeper", share(wishes.lost, wishes.asked))
+}
+
+fn write_latency(f: &mut fmt::Formatter<'_>, latency: &LatencyRecord) -> fmt::Result {
+    writeln!(f, "latency of served requests from their first try on, ms")?;
+    row(f, "mean", number(latency.mean))?;
+    row(f, "p50 / p90", format!("{:.3} / {:.3}", latency.p50, latency.p90))?;
+    row(f, "p99 / p99.9", format!("{:.3} / {:.3}", latency.p99, latency.p999))?;
+    row(f, "max", number(latency.max))
+}
+
+fn write_inside_worth(f: &mut fmt::Formatter<'_>, worth: &InsideWorth) -> fmt::Result {
+    writeln!(f, "worth asked for inside quotas")?;
+    row(f, "asked", format!("{:.1}", worth.asked))?;
+    row(f, "served in time", worth_share(worth.served, worth.asked))?;
+    row(f, "refused", worth_share(worth.refused, worth.asked))?;
+    row(f, "late, failed, abandoned or lost", worth_share(worth.otherwise, worth.asked))
+}
+
+fn write_attempts(f: &mut fmt::Formatter<'_>, attempts: &AttemptCounts) -> fmt::Result {
+    writeln!(f, "attempts at workers")?;
+    row(f, "sent", attempts.sent)?;
+    row(f, "ok", share(attempts.ok, attempts.sent))?;
+    row(f, "full", share(attempts.full, attempts.sent))?;
+    row(f, "timeout", share(attempts.timeout, attempts.sent))?;
+    row(f, "connection failed / reset", format!("{} / {}", attempts.connect_failed, attempts.reset))?;
+    row(f, "cancelled", attempts.cancelled)
+}
+
+fn write_counter_calls(f: &mut fmt::Formatter<'_>, calls: &CounterCallCounts) -> fmt::Result {
+    writeln!(f, "counter calls")?;
+    row(f, "made", calls.made)?;
+    row(f, "ok", share(calls.ok, calls.made))?;
+    row(f, "full", share(calls.full, calls.made))?;
+    row(f, "timeout", share(calls.timeout, calls.made))?;
+    row(f, "added in vain / names lost", format!("{} / {}", calls.added_in_vain, calls.names_lost))
+}
+
 fn write_run(f: &mut fmt::Formatter<'_>, run: &RunRecord) -> fmt::Result {
     writeln!(f, "run")?;
     row(f, "seed / seconds", format!("{} / {}", run.seed, run.seconds))?;
--- a/lab/src/fleet/validation.rs
+++ b/lab/src/fleet/validation.rs
@@ -15,6 +15,8 @@
 pub const MAX_SECONDS: f64 = 3_600.0;
 /// Most units of one request.
 pub const MAX_UNITS: u32 = 1_000;
+/// Most requests a second that all tenants may be expected to ask for.
+pub const MAX_REQUESTS_PER_SECOND: f64 = 1_000_000.0;
 /// Largest rate, burst or factor.
 const MAX_FIGURE: f64 = 1e9;
 /// Largest body, as the protocol has it.
@@ -93,6 +95,7 @@
     check_classes(configuration)?;
     check_plans(configuration)?;
     check_usage(configuration)?;
+    check_load(configuration)?;
     configuration.faults.iter().try_for_each(|fault| check_fault(configuration, fault))
 }
 
@@ -209,6 +212,26 @@
     Ok(())
 }
 
+/// The mean of values by weight.
+fn weighted_mean(values: impl Iterator<Item = (f64, f64)>) -> f64 {
+    let (sum, weight) =
+        values.fold((0.0, 0.0), |(sum, all), (share, value)| (sum + share * value, all + share));
+    sum / weight
+}
+
+fn check_load(configuration: &Configuration) -> Check {
+    let rate = weighted_mean(configuration.plans.iter().map(|plan| (plan.share, plan.rate)));
+    let use_of_rate = weighted_mean(configuration.usage.iter().map(|usage| {
+        let spiky = if usage.spike_every > 0.0 { usage.spike_seconds / usage.spike_every } else { 0.0 };
+        let mean = (usage.of_rate[0] + usage.of_rate[1]) / 2.0;
+        (usage.share, mean * (1.0 + spiky * (usage.spike_factor - 1.0)))
+    }));
+    let mean_units = f64::from(1 + configuration.tenants.max_units) / 2.0;
+    let requests = f64::from(configuration.tenants.count) * rate * use_of_rate / mean_units;
+    let fits = requests <= MAX_REQUESTS_PER_SECOND;
+    require(fits, "the expected load", requests, "at most 1000000 requests a second")
+}
+
 fn span(start: f64, end: f64) -> Check {
     seconds("faults.at", start)?;
     seconds("faults.until", end)?;
--- a/lab/src/fleet/workers.rs
+++ b/lab/src/fleet/workers.rs
@@ -14,8 +14,10 @@
     Draining,
     /// It takes them and answers none.
     Hung,
-    /// Nothing listens at its address.
+    /// Nothing listens at its address, until it starts again.
     Down,
+    /// Nothing listens at its address for good.
+    Gone,
     /// Its machine is out of reach: nothing is heard of it.
     Unreachable,
 }
@@ -69,7 +71,7 @@
     pub fn receive(&mut self, attempt: AttemptKey) -> Reception {
         match self.condition {
             Condition::Draining => Reception::Rejected(Status::Full),
-            Condition::Down => Reception::Rejected(Status::ConnectFailed),
+            Condition::Down | Condition::Gone => Reception::Rejected(Status::ConnectFailed),
             Condition::Hung | Condition::Unreachable => Reception::Silent,
             Condition::Serving if self.in_work.len() < self.slots => {
                 self.in_work.push(attempt);
--- a/lab/tests/fleet_configuration.rs
+++ b/lab/tests/fleet_configuration.rs
@@ -62,6 +62,7 @@
         ("spread = [2, 4]", "spread = [0, 2]", "tenants.spread"),
         ("rate = 1.6", "rate = -1.6", "plans.rate"),
         ("rate = 1.6", "rate = 0", "plans.rate"),
+        ("rate = 1.6", "rate = 1e8", "the expected load"),
         ("burst = 8.0", "burst = 1.0", "plans.burst"),
         ("share = 60", "share = -60", "usage.share"),
         ("share = 39", "share = nan", "classes.share"),
