Let an event cost the policy what it names, not the length of the list

On each outcome the ejected servers were counted over all names, each change of the list copied and looked up every name again, a choice looked up each server of the subset by its address, and every listed server held the full record of its health.

The servers stand in a table with stable places and an ordered selection of the usable ones, with the ejected and the unlisted ones in sets beside it; the health of a server begins with the first attempt. A walk past the subset that found nobody is not made again before the first of the others can be chosen. Zero terms of the score are not computed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,10 +8,13 @@
 
 mod decaying_sum;
 mod hash;
+mod host;
 mod interface;
 mod job;
 mod logic;
 mod options;
+mod ordered_table;
+mod server_table;
 mod token_bucket;
 
 pub use interface::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,10 +6,13 @@
 
 use crate::decaying_sum::add as note_demand;
 use crate::hash::hash;
+use crate::host::Host;
 use crate::interface::*;
 use crate::job::{Attempt, Job, Ran};
+use crate::ordered_table::Place;
+use crate::server_table::ServerTable;
 use crate::token_bucket::TokenBucket as Store;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 // ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
 
@@ -142,6 +145,9 @@
     }
 }
 
+/// The group, with its zone and cell, that further attempts keep to; `None`: they may go anywhere.
+type Anchor = Option<(Group, u32, u32)>;
+
 /// Why a count was called.
 #[derive(Debug)]
 enum Why {
@@ -167,37 +173,6 @@
     Watch,
 }
 
-#[derive(Debug, Default)]
-struct Host {
-    zone: u32,
-    cell: u32,
-    running: bool,
-    /// The list names it.
-    listed: bool,
-    cold_since: Time,
-    inflight: f64,
-    latency: f64,
-    heard: Time,
-    failures: u32,
-    /// By class, the share of errors among the answers of late, and when the last answer came.
-    errors: Vec<Store>,
-    gone: bool,
-    /// Since when no connection to it has come up; 0: it answered last.
-    missed_since: Time,
-    out_until: Time,
-    out_for: f64,
-    cold: Store,
-}
-
-impl Host {
-    /// A new life: nothing learned of an old one holds. What is out stays out.
-    fn renew(&mut self, cold_since: Time, cold: Store, latency: f64) {
-        let Self { zone, cell, running, listed, inflight, .. } = *self;
-        *self = Self { zone, cell, running, listed, inflight, cold_since, cold, latency, ..Self::default() };
-        self.out_for = EJECT.0;
-    }
-}
-
 /// The decisions of one gateway.
 #[derive(Debug, Default)]
 pub struct Gateway {
@@ -205,9 +180,7 @@
     now: Time,
     out: Vec<Action>,
     rng: Option<fastrand::Rng>,
-    /// Running servers, to draw from.
-    names: Vec<ServerId>,
-    /// Where in the list, from 0 to 1, this gateway's own servers begin.
+    /// Where among the usable servers, from 0 to 1, this gateway's own begin.
     phase: f64,
     /// Its place among the processes that serve this gateway, and how many there are.
     sharing: (u32, u32),
@@ -215,9 +188,9 @@
     followed: Time,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
-    servers: BTreeMap<ServerId, Host>,
-    /// Servers that operators have left out, listed or not.
-    by_hand: BTreeSet<ServerId>,
+    servers: ServerTable,
+    /// Until then no server beyond those that it keeps to may be chosen.
+    none_until: Time,
     /// The span within which the list was last asked for; 0: it came since.
     ask_span: f64,
     calls: BTreeMap<u64, VecDeque<Call>>,
@@ -246,6 +219,10 @@
     further: f64,
 }
 
+fn draw(rng: &mut Option<fastrand::Rng>) -> f64 {
+    rng.as_mut().map_or(0.5, fastrand::Rng::f64)
+}
+
 fn window_length(plan: &Plan) -> f64 {
     (WINDOW_SPANS * plan.burst / plan.rate).clamp(WINDOW_BOUNDS.0, WINDOW_BOUNDS.1)
 }
@@ -348,7 +325,7 @@
 
     /// A number from 0 to 1, from the seed.
     fn draw(&mut self) -> f64 {
-        self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
+        draw(&mut self.rng)
     }
 
     /// Among how many processes a customer's even share is dealt out.
@@ -383,23 +360,14 @@
         if kind == ListKind::Stale {
             self.set_timer(self.now + FORGET.1, Due::Sweep);
         }
-        if kind == ListKind::Full {
-            self.servers.values_mut().for_each(|h| (h.running, h.listed) = (false, false));
-        }
-        let latency = self.latency;
-        for entry in servers {
-            let phase = self.draw();
-            let host = self.servers.entry(entry.id).or_default();
-            (host.zone, host.cell) = (entry.zone, entry.cell);
-            if host.out_for == 0.0 || entry.started > host.cold_since {
-                host.renew(entry.started, Store { level: phase, at: self.now }, latency);
+        self.none_until = 0.0;
+        let (now, latency, rng) = (self.now, self.latency, &mut self.rng);
+        self.servers.update(kind == ListKind::Full, servers, |host, entry| {
+            let phase = draw(rng);
+            if !host.known || entry.started > host.cold_since {
+                host.renew(entry.started, Store { level: phase, at: now }, latency);
             }
-            host.running = entry.lifecycle == Lifecycle::Running;
-            host.listed = entry.lifecycle != Lifecycle::Gone;
-        }
-        // One that is gone is kept only while attempts are out to it.
-        self.servers.retain(|_, h| h.listed || h.inflight > 0.0);
-        self.name_usable();
+        });
     }
 
     /// One service tells all gateways the list in turn. A start of all fills its line with calls that wait in
@@ -418,25 +386,22 @@
         self.set_timer(at, Due::Watch);
     }
 
-    fn name_usable(&mut self) {
-        let usable = |(id, host): &(&ServerId, &Host)| host.running && !self.by_hand.contains(*id);
-        self.names = self.servers.iter().filter(usable).map(|(id, _)| id.clone()).collect();
-    }
-
     /// Whether the list names the server, or operators have left it out.
     pub fn knows(&self, server: &ServerId) -> bool {
-        self.servers.contains_key(server) || self.by_hand.contains(server)
+        self.servers.knows(server)
     }
 
     /// What one that follows should know.
     pub fn memory(&self) -> Memory {
         let known = |(id, host): (&ServerId, &Host)| {
-            let Host { cold_since, latency, heard, out_until, out_for, .. } = *host;
+            let (health, &Host { cold_since, latency, known, .. }) = (host.health(), host);
+            let out_for = if known { health.out_for.max(EJECT.0) } else { 0.0 };
+            let (heard, out_until) = (health.heard, health.out_until);
             Known { id: id.clone(), cold_since, latency, heard, out_until, out_for }
         };
         Memory {
             servers: self.servers.iter().map(known).collect(),
-            left_out: self.by_hand.iter().cloned().collect(),
+            left_out: self.servers.left_out().cloned().collect(),
             carried: self.carried.level,
             times: [self.latency, self.typical, self.idle.level],
             call_rate: self.call_rate,
@@ -448,20 +413,23 @@
         let (now, longest) = (self.now, 60.0);
         for known in memory.servers.into_iter().filter(|k| k.out_for > 0.0) {
             let phase = self.draw();
-            let host = self.servers.entry(known.id).or_default();
+            let place = self.servers.find_or_add(known.id);
+            let host = &mut self.servers[place];
             if host.cold_since > known.cold_since {
                 continue; // Started anew since.
             }
-            host.renew(
-                known.cold_since.min(now),
-                Store { level: phase, at: now },
-                known.latency.clamp(0.0, longest),
-            );
-            (host.heard, host.out_for) = (known.heard.min(now), known.out_for.clamp(EJECT.0, EJECT.1));
-            host.out_until = known.out_until.min(now + EJECT.1);
+            let (cold, latency) = (Store { level: phase, at: now }, known.latency.clamp(0.0, longest));
+            host.renew(known.cold_since.min(now), cold, latency);
+            if known.heard != 0.0 || known.out_until != 0.0 || known.out_for > EJECT.0 {
+                let health = host.health_mut();
+                (health.heard, health.out_for) =
+                    (known.heard.min(now), known.out_for.clamp(EJECT.0, EJECT.1));
+                health.out_until = known.out_until.min(now + EJECT.1);
+                self.servers.note_ejected(place);
+            }
         }
-        self.by_hand = memory.left_out.into_iter().collect();
-        self.name_usable();
+        self.servers.replace_left_out(memory.left_out);
+        self.none_until = 0.0;
         let [latency, typical, idle] = memory.times.map(|t| t.clamp(0.0, longest));
         (self.latency, self.typical, self.idle) = (latency, typical, Store { level: idle, at: now });
         self.carried = Store { level: memory.carried.max(0.0), at: now };
@@ -471,32 +439,30 @@
 
     /// How many servers are listed, and how many of them are avoided at `now`.
     pub fn targets(&self, now: Time) -> Targets {
-        let listed = || self.servers.iter().filter(|(_, h)| h.listed);
-        let avoids = |id, h: &Host| !h.running || now < h.out_until || self.by_hand.contains(id);
-        let avoided = listed().filter(|(id, h)| avoids(*id, h)).count();
-        Targets { listed: listed().count(), avoided }
+        self.servers.targets(now)
     }
 
     /// The servers that operators have left out.
     pub fn left_out(&self) -> impl Iterator<Item = &ServerId> {
-        self.by_hand.iter()
+        self.servers.left_out()
     }
 
     /// Operators restart a server while it is out, so it comes back cold, and what was learned of it is void.
     fn by_hand(&mut self, server: ServerId, out: bool) {
-        if out {
-            self.by_hand.insert(server);
-        } else if self.by_hand.remove(&server) {
+        self.none_until = 0.0;
+        let was_out = self.servers.leave_out(&server, out);
+        if was_out && !out {
             let (cold, latency) = (Store { level: self.draw(), at: self.now }, self.latency);
-            self.servers.get_mut(&server).into_iter().for_each(|h| h.renew(self.now, cold, latency));
+            let place = self.servers.find(&server);
+            place.into_iter().for_each(|place| self.servers[place].renew(self.now, cold, latency));
         }
-        self.name_usable();
     }
 
     /// One less is in work at a server.
     fn leaves(&mut self, server: &ServerId) {
-        if let Some(host) = self.servers.get_mut(server) {
-            host.inflight = (host.inflight - 1.0).max(0.0);
+        if let Some(place) = self.servers.find(server) {
+            let health = self.servers[place].health_mut();
+            health.inflight = (health.inflight - 1.0).max(0.0);
             self.inflight = (self.inflight - 1.0).max(0.0);
         }
     }
@@ -516,58 +482,61 @@
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
     fn observe(&mut self, server: &ServerId, class: Option<usize>, status: Status, spent: f64) {
-        let sick = self.names.iter().filter(|id| self.now < self.servers[*id].out_until).count() as f64;
-        let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
-        let Some(host) = self.servers.get_mut(server) else { return };
+        let crowded =
+            self.servers.count_ejected(self.now) as f64 >= self.servers.usable().len() as f64 * EJECT_MOST;
+        let Some(place) = self.servers.find(server) else { return };
+        let host = &mut self.servers[place];
         let beside = self.inflight + 1.0;
-        if !host.listed && host.inflight == 0.0 {
-            self.servers.remove(server);
-            return;
+        if !host.listed && host.health().inflight == 0.0 {
+            return self.servers.remove(place);
         }
+        let health = host.health.get_or_insert_default();
         if let (Some(class), Status::Ok | Status::Error) = (class, status) {
             // By class, as one alone may fail: its errors stand between good answers to the others.
-            host.errors.resize_with(self.set.classes.len(), Store::default);
-            note_demand(&mut host.errors[class], self.now, 0.0, ERROR_MEMORY);
-            let share = &mut host.errors[class].level;
+            health.errors.resize_with(self.set.classes.len(), Store::default);
+            note_demand(&mut health.errors[class], self.now, 0.0, ERROR_MEMORY);
+            let share = &mut health.errors[class].level;
             *share += GAIN * (f64::from(u8::from(status == Status::Error)) - *share);
         }
         if matches!(status, Status::Ok | Status::Error | Status::Full) {
-            host.missed_since = 0.0;
+            health.missed_since = 0.0;
         }
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
-                if host.gone {
+                if health.gone {
                     // It was unreachable and answers again: it may have restarted untold, so suspect it cold.
-                    (host.cold_since, host.gone) = (self.now, false);
+                    (host.cold_since, health.gone) = (self.now, false);
                 }
-                (host.failures, host.out_for) = (0, EJECT.0);
+                (health.failures, health.out_for) = (0, EJECT.0);
             }
             Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
             Status::ConnectFailed => {
                 // One may be chance; with the next it is put out.
-                host.failures += EJECT_AFTER - 1;
-                if host.missed_since == 0.0 {
-                    host.missed_since = self.now;
+                health.failures += EJECT_AFTER - 1;
+                if health.missed_since == 0.0 {
+                    health.missed_since = self.now;
                 }
-                host.gone |= self.now - host.missed_since >= GONE_AFTER;
+                health.gone |= self.now - health.missed_since >= GONE_AFTER;
             }
             // In overload all time out, and none is sick: then its latency below says it.
             Status::Timeout if self.lost > TIMEOUTS_FEW => {}
-            _ => host.failures += 1,
+            _ => health.failures += 1,
         }
-        if host.failures >= EJECT_AFTER && self.now >= host.out_until && !crowded {
-            host.out_until = self.now + host.out_for;
-            host.out_for = (host.out_for * 2.0).min(EJECT.1);
+        if health.failures >= EJECT_AFTER && self.now >= health.out_until && !crowded {
+            let out_for = health.out_for.max(EJECT.0);
+            (health.out_until, health.out_for) = (self.now + out_for, (out_for * 2.0).min(EJECT.1));
+            self.servers.note_ejected(place);
         }
         if !matches!(status, Status::Ok | Status::Timeout) {
             return;
         }
         let mean = |old: f64, new: f64| if old == 0.0 { new } else { old + GAIN * (new - old) };
         // Old news counts less: a gateway of many hears of a server rarely, and it has changed since.
-        let fresh = (1.0 - GAIN) * (-(self.now - host.heard) / NEWS_MEMORY).exp();
+        let host = &mut self.servers[place];
+        let heard = std::mem::replace(&mut host.health_mut().heard, self.now);
+        let fresh = (1.0 - GAIN) * (-(self.now - heard) / NEWS_MEMORY).exp();
         host.latency = spent + (host.latency - spent) * fresh;
-        host.heard = self.now;
         let cold_since = host.cold_since;
         self.latency = mean(self.latency, spent);
         // Over the same number of answers' times whether many are out or few.
@@ -592,7 +561,7 @@
     /// the aim, whoever loads the servers, and room for chance, which fades as answers slow down, later where
     /// few are out. A fraction lets in by chance, so that many gateways of little load keep it together.
     fn room(&mut self, share: f64) -> bool {
-        let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
+        let least = LEAST_OUT * self.servers.usable().len() as f64 / f64::from(self.set.gateways);
         let wanted = self.idle.level + PRESSED_AIM * self.aim();
         let ease = (wanted / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
@@ -603,13 +572,13 @@
     /// Rule 4: a cold server has a budget from what servers carry on average and the capacity that it
     /// surely has; as every gateway does so, they stay under the multiple together, and each starts at a
     /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
-    fn cold_room(&mut self, id: &ServerId) -> f64 {
+    fn cold_room(&mut self, place: Place) -> f64 {
         // Over those that it keeps to: it is one of the few gateways that any of them meets.
         let mean = self.sent_units.level / RATE_MEMORY / self.near().max(1) as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
         self.carried.level = self.carried.level.max(mean);
-        let host = self.servers.get_mut(id).expect("the caller names a known server");
+        let host = &mut self.servers[place];
         let age = self.now - host.cold_since;
         if host.cold_since <= 0.0 || age >= self.set.cold {
             return f64::INFINITY;
@@ -622,49 +591,82 @@
 
     /// How many of the servers it keeps to.
     fn near(&self) -> usize {
-        let count = self.names.len();
+        let count = self.servers.usable().len();
         SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count)
     }
 
     /// The server that should answer first, among those this job may go to; `None`: all are full.
-    fn choose(&mut self, job: &Job) -> Option<ServerId> {
+    fn choose(&mut self, job: &Job) -> Option<Place> {
         let anchor = self.anchor(job)?;
-        let mut best: Option<(f64, ServerId)> = None;
-        let count = self.names.len();
         let near = self.near();
-        let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
-        for i in 0..count {
-            if i >= near && best.is_some() {
-                break;
-            }
-            let place = if i < near { (turn + i) % near } else { i };
-            let id = self.names[(start + place) % count].clone();
-            let host = &self.servers[&id];
-            let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
-                Group::All => true,
-                Group::Zone => host.zone == zone,
-                Group::Cell => host.cell == cell && host.zone == zone,
-            });
-            if self.now < host.out_until || !in_group || job.attempts.iter().any(|a| a.server == id) {
+        let turn = (self.draw() * near as f64) as usize;
+        let mut best: Option<(f64, Place)> = None;
+        for i in 0..near {
+            let place = self.servers.usable_from(self.phase, (turn + i) % near);
+            if !self.allowed(job, anchor, place) {
                 continue;
             }
-            // Slower servers are sent less, by news that fades; those known as quick are not told apart.
-            let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
-            let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
-            let erred = host.errors.get(job.request.class);
-            let erring = erred.map_or(0.0, |e| e.level * (-(self.now - e.at) / ERROR_MEMORY).exp());
-            let score = (1.0 + host.inflight) * slow * (ERRING * erring).max(1.0);
-            let warm = host.cold_since <= 0.0 || self.now - host.cold_since >= self.set.cold;
-            let may = warm || i < near && self.cold_room(&id) >= 1.0;
-            if best.as_ref().is_none_or(|(s, _)| score < *s) && may {
-                best = Some((score, id));
+            let host = &self.servers[place];
+            let (score, warm) = (self.score(host, job.request.class), self.now >= self.warm_at(host));
+            let may = warm || self.cold_room(place) >= 1.0;
+            if best.is_none_or(|(s, _)| score < s) && may {
+                best = Some((score, place));
+            }
+        }
+        best.map(|(_, place)| place).or_else(|| self.choose_beyond(job, anchor))
+    }
+
+    /// The first server that this job may go to beyond those that this gateway keeps to.
+    fn choose_beyond(&mut self, job: &Job, anchor: Anchor) -> Option<Place> {
+        if self.now < self.none_until {
+            return None;
+        }
+        // When the first of them may be sent something, whatever the job.
+        let mut first = f64::INFINITY;
+        for i in self.near()..self.servers.usable().len() {
+            let place = self.servers.usable_from(self.phase, i);
+            let host = &self.servers[place];
+            let warm_at = self.warm_at(host);
+            if self.now >= warm_at && self.allowed(job, anchor, place) {
+                return Some(place);
             }
+            first = first.min(host.health().out_until.max(warm_at));
         }
-        best.map(|(_, id)| id)
+        self.none_until = first;
+        None
+    }
+
+    /// When a server is no longer cold.
+    fn warm_at(&self, host: &Host) -> Time {
+        if host.cold_since <= 0.0 { 0.0 } else { host.cold_since + self.set.cold }
+    }
+
+    /// Whether a job may go to a server once it is warm: one not ejected, of the right group, new to the job.
+    fn allowed(&self, job: &Job, anchor: Anchor, place: Place) -> bool {
+        let host = &self.servers[place];
+        let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
+            Group::All => true,
+            Group::Zone => host.zone == zone,
+            Group::Cell => host.cell == cell && host.zone == zone,
+        });
+        let tried = || job.attempts.iter().any(|a| a.server == *self.servers.id(place));
+        in_group && self.now >= host.health().out_until && !tried()
+    }
+
+    /// How much fuller than an idle server this one counts, from 1 on.
+    fn score(&self, host: &Host, class: usize) -> f64 {
+        let health = host.health();
+        let faded = |at: Time, memory: f64| (-(self.now - at) / memory).exp();
+        // Slower servers are sent less, by news that fades; those known as quick are not told apart.
+        let slower = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0);
+        let slow = if slower > 0.0 { slower * faded(health.heard, NEWS_MEMORY) + 1.0 } else { 1.0 };
+        let erred = health.errors.get(class).filter(|e| ERRING * e.level > 1.0);
+        let erring = erred.map_or(0.0, |e| e.level * faded(e.at, ERROR_MEMORY));
+        (1.0 + health.inflight) * slow * (ERRING * erring).max(1.0)
     }
 
     /// Rule 2: `None`: no further attempt may go out; `Some(None)`: anywhere; else only to that group.
-    fn anchor(&self, job: &Job) -> Option<Option<(Group, u32, u32)>> {
+    fn anchor(&self, job: &Job) -> Option<Anchor> {
         if job.out() > 0 && !self.set.second_copies {
             return None;
         }
@@ -673,7 +675,7 @@
             Effect::Safe => Some(None),
             Effect::Unsafe => None,
             Effect::Keyed { group, .. } => {
-                let host = self.servers.get(&first.server)?;
+                let host = &self.servers[self.servers.find(&first.server)?];
                 (self.now < self.dedup_until(job)?).then_some(Some((group, host.zone, host.cell)))
             }
         }
@@ -1068,9 +1070,10 @@
         let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
         let tries = job.attempts.len() < self.set.max_attempts as usize;
         let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
-        if let Some(server) = &server {
-            let host = self.servers.get_mut(server).expect("chosen from the list");
-            host.inflight += 1.0;
+        if let Some(place) = server {
+            let server = self.servers.id(place).clone();
+            let host = &mut self.servers[place];
+            host.health_mut().inflight += 1.0;
             self.inflight += 1.0;
             host.cold.level -= job.request.units.max(1.0);
             if let Some(customer) = self.customers.get_mut(&job.request.customer) {
--- /dev/null
+++ b/tests/unit/ordered_table.rs
@@ -0,0 +1,102 @@
+use super::OrderedTable;
+use std::{
+    cell::Cell,
+    cmp::Ordering,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+};
+
+#[test]
+fn it_does_as_an_ordered_map_and_an_ordered_set_do() {
+    let mut dice = fastrand::Rng::with_seed(5);
+    let mut table: OrderedTable<u32, u32> = OrderedTable::default();
+    let (mut entries, mut selected) = (BTreeMap::new(), BTreeSet::new());
+    for step in 0..20_000 {
+        let key = dice.u32(0..200);
+        match dice.u32(0..4) {
+            0 | 1 => {
+                let place = table.find_or_add(key);
+                table[place] += step;
+                *entries.entry(key).or_insert(0) += step;
+                let is_selected = dice.bool();
+                table.select(place, is_selected);
+                if is_selected {
+                    selected.insert(key)
+                } else {
+                    selected.remove(&key)
+                };
+            }
+            2 => {
+                assert_eq!(table.find(&key).map(|place| table[place]), entries.get(&key).copied());
+            }
+            _ => {
+                if let Some(place) = table.find(&key) {
+                    table.remove(place);
+                }
+                entries.remove(&key);
+                selected.remove(&key);
+            }
+        }
+        assert_eq!(table.places().len(), entries.len());
+        if step % 100 == 0 {
+            assert!(table.iter().eq(entries.iter()));
+            assert!(table.selected().iter().map(|place| table.key(*place)).eq(selected.iter()));
+        }
+    }
+    table.values_mut().for_each(|value| *value = 7);
+    assert!(table.iter().all(|(_, value)| *value == 7));
+}
+
+/// A key that counts how often it is compared.
+struct Counted(u32, Rc<Cell<usize>>);
+
+impl PartialEq for Counted {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl Eq for Counted {}
+
+impl PartialOrd for Counted {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Counted {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.1.set(self.1.get() + 1);
+        self.0.cmp(&other.0)
+    }
+}
+
+#[test]
+fn a_change_of_one_among_ten_thousand_compares_a_few_keys() {
+    let compared = Rc::new(Cell::new(0));
+    let mut table: OrderedTable<Counted, ()> = OrderedTable::default();
+    let key = |number| Counted(number, compared.clone());
+    for number in 0..10_000 {
+        let place = table.find_or_add(key(2 * number));
+        table.select(place, true);
+    }
+    compared.set(0);
+    let place = table.find_or_add(key(7777));
+    table.select(place, true);
+    table.select(place, false);
+    table.remove(place);
+    assert!(compared.get() <= 5 * 16, "{} comparisons", compared.get());
+}
+
+#[test]
+fn a_removed_entrys_place_is_used_again_for_the_next() {
+    let mut table: OrderedTable<u32, String> = OrderedTable::default();
+    table.reserve(2);
+    let first = table.find_or_add(1);
+    table[first].push_str("old");
+    table.select(first, true);
+    table.remove(first);
+    let second = table.find_or_add(2);
+    assert_eq!((second, table[second].as_str()), (first, ""));
+    assert!(table.selected().is_empty());
+}
