Take in a list of 9,200 indented workers with 32 MB of memory

The longest list that is read was a sixteenth of the memory limit, 2 MB at 32 MB, but 9,200 indented entries are 2 to 3 MB. Each entry was read into four strings of its own, so a longer text would have cost several times its size, and the configuration's list was kept for the life of the process.

An entry is now read without a copy of its strings (src/bin/yardspur/list.rs), the buffer for an answer of told length is made at that length, the list of the configuration is freed once taken in, and the bound is an eighth of the limit: 420 bytes for each of 10,000 workers at 32 MB. A longer list is a fault of its own, with one line in the log; it used to be told as a broken connection.

--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -1,6 +1,9 @@
 //! What a gateway is told at its start.
 
-use crate::operator;
+use crate::{
+    list::{List, Listed},
+    operator,
+};
 use serde::Deserialize;
 use serde_json::Value;
 use std::{
@@ -12,29 +15,6 @@
 };
 use weirusher::{Options, OptionsError};
 
-/// A worker as discovery shows it.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Entry {
-    pub id: String,
-    #[serde(default)]
-    pub addr: String,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub cell: u32,
-    pub state: String,
-    #[serde(default)]
-    pub started_ms: f64,
-}
-
-/// A list of workers in discovery's form.
-#[derive(Debug, Clone, Deserialize)]
-pub struct List {
-    pub version: u64,
-    pub full: bool,
-    pub servers: Vec<Entry>,
-}
-
 #[derive(Debug, Deserialize)]
 struct Limits {
     sockets: usize,
@@ -43,7 +23,7 @@
 
 /// The file's form.
 #[derive(Debug, Deserialize)]
-struct File {
+struct File<'a> {
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
@@ -51,7 +31,8 @@
     limits: Limits,
     counter: Option<SocketAddr>,
     operator: Option<SocketAddr>,
-    known: List,
+    #[serde(borrow)]
+    known: List<'a>,
     settings: Value,
 }
 
@@ -70,7 +51,8 @@
     pub operator: Option<SocketAddr>,
     /// The descriptor that clients come in by, where the platform holds their listening socket.
     pub accept_fd: Option<RawFd>,
-    pub known: Vec<Entry>,
+    /// The list of workers at the start.
+    pub known: Vec<Listed>,
     /// The version of that list.
     pub version: u64,
     pub options: Options,
@@ -126,9 +108,14 @@
     /// Bytes that a customer takes at most in the module's table: some 300, and the table's own.
     const CUSTOMER: usize = 512;
 
-    /// Longest list of workers, in bytes: read, it takes a few times its text for a moment.
+    /// The share of the memory that the text of a list may take. Some 420 bytes for each of 10,000 workers at
+    /// 32 MB: an indented entry has some 300. While it is read, the entries take less than half as much beside it,
+    /// and the tables of workers that it leads to not more; requests and customers may fill half of the memory.
+    const LIST_SHARE: usize = 8;
+
+    /// Longest list of workers, in bytes.
     pub fn list_bound(&self) -> usize {
-        self.memory / 16
+        self.memory / Self::LIST_SHARE
     }
 
     /// Reads the file that `NODE_CONFIG` names.
@@ -138,7 +125,7 @@
     }
 
     fn read(text: &[u8]) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let file: File<'_> = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
         let mut options = Options::read(&file.settings).map_err(ConfigError::Options)?;
         let usable = |v: f64| v > 0.0 && v <= 3600.0;
         let times = [("ConnIdle", options.conn_idle), ("ConnectTimeout", options.connect_timeout)];
@@ -165,7 +152,7 @@
             counter: file.counter,
             operator,
             accept_fd: variable("NODE_ACCEPT_FD")?,
-            known: file.known.servers,
+            known: file.known.workers(&options.zones),
             version: file.known.version,
             options,
         })
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -1,28 +1,16 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt. Where beginning a watch has
 //! its price, the module says when, and the watch goes on from the list that is known.
 
-use crate::{
-    config::{Config, Entry, List},
-    gateway::Hub,
-    link::Link,
-    stream::Outgoing,
-    workers::Trace,
-};
-use hyper::{Request, StatusCode, Uri, header};
-use std::{
-    fmt,
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-    pin::pin,
-    rc::Rc,
-    time::Duration,
-};
+use crate::{gateway::Hub, link::Link, list::List, stream::Outgoing, workers::Trace};
+use bytes::Bytes;
+use hyper::{Request, StatusCode, Uri, header, http::response::Parts};
+use std::{cell::Cell, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     sync::watch,
     task::yield_now,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use weirusher::{Lifecycle, ListKind, Server};
+use weirusher::ListKind;
 
 /// How long discovery may hold a watch, from the call's begin on. Whatever becomes of a call, a change counts as told
 /// 6 s after discovery had it: the hold, the patience past it, the pause or the module's turn (1 s) and a connection
@@ -48,6 +36,8 @@
     Silent,
     Broken,
     Status(StatusCode),
+    /// Longer than so many bytes.
+    TooLong(usize),
     Unreadable,
 }
 
@@ -58,6 +48,7 @@
             Self::Silent => f.write_str("no answer"),
             Self::Broken => f.write_str("the connection broke"),
             Self::Status(status) => write!(f, "status {status}"),
+            Self::TooLong(most) => write!(f, "the list is longer than the {most} bytes that fit in memory"),
             Self::Unreadable => f.write_str("the list is unreadable"),
         }
     }
@@ -107,7 +98,11 @@
             }
         };
         let Some(answer) = answer else { continue };
-        let pause = match answer {
+        let text = match &answer {
+            Ok(text) => serde_json::from_slice::<List>(text).map_err(|_| Fault::Unreadable),
+            Err(fault) => Err(*fault),
+        };
+        let pause = match text {
             Ok(list) => {
                 let recovered = trouble.take().is_some();
                 if recovered {
@@ -117,8 +112,9 @@
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
                 let fits = list.full || version.is_some_and(|v| list.version >= v);
                 version = fits.then_some(list.version);
-                if fits && (list.full || recovered || !list.servers.is_empty()) {
-                    hub.list(if list.full { ListKind::Full } else { ListKind::Changes }, list.servers);
+                let workers = list.workers(&hub.config().options.zones);
+                if fits && (list.full || recovered || !workers.is_empty()) {
+                    hub.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
                 }
                 if fits {
                     continue;
@@ -152,7 +148,7 @@
     }
 }
 
-/// One call: a watch on the connection that is kept, where there is one, else a question on a new connection that is
+/// One call; the text of the list that it brings: a watch on the connection that is kept, where there is one, else a question on a new connection that is
 /// answered at once. It has one clock for all its stages.
 async fn call(
     addr: SocketAddr,
@@ -160,7 +156,7 @@
     version: Option<u64>,
     most: usize,
     begun: &Trace,
-) -> Result<List, Fault> {
+) -> Result<Bytes, Fault> {
     let kept_on = kept.take().and_then(|mut link| link.ready().then_some(link));
     let hold = if kept_on.is_some() && version.is_some() { HOLD } else { Duration::ZERO };
     let limit = Instant::now() + if hold.is_zero() { FIRST } else { HOLD + PATIENCE };
@@ -176,37 +172,18 @@
     let mut request = Request::new(Outgoing::Whole(None));
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-    let answer = timeout_at(limit, link.exchange(request, None, most, &|_, _| None)).await;
-    let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?;
+    let is_too_long = Cell::new(false);
+    // Asked only about an answer that does not fit, or one of no told length that takes its time.
+    let begin = |_: &Parts, length: Option<u64>| {
+        is_too_long.set(length.is_some());
+        None
+    };
+    let answer = timeout_at(limit, link.exchange(request, None, most, &begin)).await;
+    let broken = |_| if is_too_long.get() { Fault::TooLong(most) } else { Fault::Broken };
+    let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(broken)?;
     if parts.status != StatusCode::OK {
         return Err(Fault::Status(parts.status));
     }
-    let list = serde_json::from_slice(&body).map_err(|_| Fault::Unreadable)?;
     *kept = Some(link);
-    Ok(list)
-}
-
-/// An entry in the module's terms; `None` where its state is unknown.
-pub fn server(entry: &Entry, config: &Config) -> Option<Server> {
-    let lifecycle = match entry.state.as_str() {
-        "SERVING" => Lifecycle::Running,
-        "DRAINING" => Lifecycle::Draining,
-        "DELETED" => Lifecycle::Gone,
-        _ => return None,
-    };
-    let zone = config.options.zones.iter().position(|z| *z == entry.zone);
-    // One that the settings don't name is a zone all the same, and another than the next such: workers of two zones
-    // don't know each other's requests.
-    let other = || {
-        let mut hasher = fnv::FnvHasher::default();
-        entry.zone.hash(&mut hasher);
-        hasher.finish() as u32 | 1 << 31
-    };
-    Some(Server {
-        id: entry.id.as_str().into(),
-        zone: zone.map_or_else(other, |z| z as u32),
-        cell: entry.cell,
-        started: entry.started_ms / 1000.0,
-        lifecycle,
-    })
+    Ok(body)
 }
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,11 +2,11 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
-    config::{Config, Entry},
+    config::Config,
     counter::Counter,
-    discovery,
     figures::Figures,
     keep::{Keep, KeepError},
+    list::Listed,
     siblings::Siblings,
     stream::{self, Content, Piece, Pieces},
     workers::{Ending, Forward, Trace, Workers, may_have_run},
@@ -27,8 +27,7 @@
     task::AbortHandle,
 };
 use weirusher::{
-    Action, Event, Gateway, JobId, ListKind, Load, Memory, Request, Server, ServerId, SettingsError, Status,
-    Time,
+    Action, Event, Gateway, JobId, ListKind, Load, Memory, Request, ServerId, SettingsError, Status, Time,
 };
 
 /// Clients of the counter at old addresses, at most: several reloads in a row leave no more.
@@ -182,7 +181,7 @@
 }
 
 impl Hub {
-    pub fn new(config: Config, worker_budget: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn new(mut config: Config, worker_budget: usize) -> Result<Rc<Self>, SettingsError> {
         let gateway = Gateway::new(config.options.settings.clone(), config.seed)?;
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
@@ -193,6 +192,8 @@
             Duration::from_secs_f64(config.options.connect_timeout),
             figures.dispatches.clone(),
         );
+        // Needed once; later lists make it void.
+        let known = std::mem::take(&mut config.known);
         let hub = Rc::new(Self {
             clock: Clock::new(),
             gateway: RefCell::new(gateway),
@@ -213,7 +214,7 @@
             keep: config.operator.and_then(|_| Keep::new(&config.name)),
             config,
         });
-        hub.list(ListKind::Stale, hub.config.known.clone());
+        hub.list(ListKind::Stale, known);
         Ok(hub)
     }
 
@@ -317,12 +318,9 @@
     // ---- What comes in ----
 
     /// News of the workers. Names are mapped to addresses here, which are each gateway's own.
-    pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
-        let known =
-            entries.iter().filter_map(|e| Some((discovery::server(e, &self.config)?, e.addr.parse().ok())));
-        let listed: Vec<(Server, Option<SocketAddr>)> = known.collect();
-        self.workers.listed(kind != ListKind::Changes, listed.iter().map(|(server, addr)| (server, *addr)));
-        let servers = listed.into_iter().map(|(server, _)| server).collect();
+    pub fn list(self: &Rc<Self>, kind: ListKind, workers: Vec<Listed>) {
+        self.workers.listed(kind != ListKind::Changes, &workers);
+        let servers = workers.into_iter().map(|listed| listed.server).collect();
         self.post(Event::List { kind, servers });
     }
 
--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -274,7 +274,8 @@
     if length.is_none() && !parts.headers.contains_key(TRANSFER_ENCODING) && !closes {
         return None;
     }
-    let mut whole = BytesMut::new();
+    let told = length.filter(|length| *length <= most as u64);
+    let mut whole = BytesMut::with_capacity(told.unwrap_or(0) as usize);
     let patience = sleep(GATHER);
     tokio::pin!(patience);
     while length.is_none_or(|l| l <= most as u64) && whole.len() <= most {
--- /dev/null
+++ b/src/bin/yardspur/list.rs
@@ -0,0 +1,80 @@
+//! The list of workers in discovery's form. It is read from its text without a copy of any of its strings.
+
+use serde::Deserialize;
+use std::{
+    borrow::Cow,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+};
+use weirusher::{Lifecycle, Server};
+
+/// A list of workers, borrowed from its text.
+#[derive(Debug, Deserialize)]
+pub struct List<'a> {
+    pub version: u64,
+    pub full: bool,
+    #[serde(borrow)]
+    servers: Vec<Entry<'a>>,
+}
+
+/// A worker as discovery shows it.
+#[derive(Debug, Deserialize)]
+struct Entry<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow, default)]
+    addr: Cow<'a, str>,
+    #[serde(borrow, default)]
+    zone: Cow<'a, str>,
+    #[serde(default)]
+    cell: u32,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    #[serde(default)]
+    started_ms: f64,
+}
+
+/// A worker in the module's terms, with its address if it has a usable one.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    pub server: Server,
+    pub addr: Option<SocketAddr>,
+}
+
+impl List<'_> {
+    /// The workers whose state is known; `zones` are the names of the zones by number.
+    pub fn workers(&self, zones: &[String]) -> Vec<Listed> {
+        self.servers.iter().filter_map(|entry| entry.listed(zones)).collect()
+    }
+}
+
+impl Entry<'_> {
+    /// `None`: its state is unknown.
+    fn listed(&self, zones: &[String]) -> Option<Listed> {
+        let lifecycle = match &*self.state {
+            "SERVING" => Lifecycle::Running,
+            "DRAINING" => Lifecycle::Draining,
+            "DELETED" => Lifecycle::Gone,
+            _ => return None,
+        };
+        let server = Server {
+            id: self.id.as_ref().into(),
+            zone: zone_number(&self.zone, zones),
+            cell: self.cell,
+            started: self.started_ms / 1000.0,
+            lifecycle,
+        };
+        Some(Listed { server, addr: self.addr.parse().ok() })
+    }
+}
+
+/// One that the settings don't name is a zone all the same, and another than the next such: workers of two zones don't
+/// know each other's requests.
+fn zone_number(name: &str, zones: &[String]) -> u32 {
+    if let Some(number) = zones.iter().position(|zone| zone == name) {
+        return number as u32;
+    }
+    let mut hasher = fnv::FnvHasher::default();
+    name.hash(&mut hasher);
+    hasher.finish() as u32 | 1 << 31
+}
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod keep;
 mod link;
+mod list;
 mod operator;
 mod siblings;
 mod stream;
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -3,6 +3,7 @@
 use crate::{
     http::{MAX_BODY, MAX_WHOLE},
     link::{Begin, Failure, Link, Progress},
+    list::Listed,
     stream::{Content, Outgoing, Piece},
 };
 use bytes::Bytes;
@@ -15,7 +16,7 @@
     time::{Duration, Instant},
 };
 use tokio::{sync::mpsc, time::sleep};
-use weirusher::{Lifecycle, Load, Server, ServerId, Status};
+use weirusher::{Lifecycle, Load, ServerId, Status};
 
 /// What goes on to a worker.
 #[derive(Debug)]
@@ -133,10 +134,10 @@
 
     /// Takes in the list: the whole one, or what has changed, each with its address if it has a usable one.
     /// What is not named by a whole list, or is gone, is forgotten, and its idle connections are closed.
-    pub fn listed<'a>(&self, whole: bool, servers: impl Iterator<Item = (&'a Server, Option<SocketAddr>)>) {
+    pub fn listed(&self, whole: bool, workers: &[Listed]) {
         let mut hosts = self.hosts.borrow_mut();
         let mut old = if whole { std::mem::take(&mut *hosts) } else { FnvHashMap::default() };
-        for (server, addr) in servers {
+        for Listed { server, addr } in workers {
             let known = hosts.remove(&server.id).or_else(|| old.remove(&server.id));
             let addr = addr.or(known.as_ref().map(|h| h.addr));
             let (Some(addr), true) = (addr, server.lifecycle != Lifecycle::Gone) else { continue };
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::{
     io::{BufRead, BufReader, Write},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
     time::{Duration, Instant},
 };
 
@@ -137,3 +137,66 @@
     assert!(next.line.contains("from=7"), "{}", next.line);
     assert_eq!(node.ask(&ask("told")).body, b"other");
 }
+
+/// A list of so many workers as discovery would write it for people to read, of which only the last may be sent to.
+fn indented(workers: usize, version: u64, last: &Worker) -> String {
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let id = |i: usize| format!("worker-hall-a-{i:05}");
+    let mut servers: Vec<_> = (0..workers - 1).map(|i| entry(&id(i), nobody, "DRAINING")).collect();
+    servers.push(entry(&id(workers - 1), last.addr, "SERVING"));
+    let list = json!({"version": version, "full": true, "servers": servers});
+    serde_json::to_string_pretty(&list).expect("JSON").replace('\n', "\r\n        ")
+}
+
+/// Takes the next call to discovery and answers it.
+fn answer_with(listener: &TcpListener, body: &str) -> TcpStream {
+    let (mut socket, _) = listener.accept().expect("a call");
+    read_message(&mut BufReader::new(&socket)).expect("a call");
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    // The gateway may close before it has read all of what is too long.
+    let _ = socket.write_all(answer.as_bytes());
+    socket
+}
+
+/// A gateway of 680 with 32 MB, and where it asks for its list.
+fn small_gateway() -> (Node, TcpListener) {
+    let (mut setup, _unused) = Setup::new(&[]);
+    (setup.settings["PeersTotal"], setup.settings["Me"]) = (json!(680), json!(679));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    setup.discovery = listener.local_addr().expect("bound");
+    let mut config = setup.config();
+    config["limits"]["memory_mb"] = json!(32);
+    (setup.start_on(&config.to_string(), Start::default()), listener)
+}
+
+#[test]
+fn an_indented_list_of_9200_workers_is_taken_in_with_32_mb() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (node, listener) = small_gateway();
+    let body = indented(9200, 7, &worker);
+    assert!(body.len() > 2 << 20, "{} bytes", body.len());
+    let socket = answer_with(&listener, &body);
+    let next = read_message(&mut BufReader::new(&socket)).expect("a watch");
+    assert!(next.line.contains("from=7"), "{}", next.line);
+    assert_eq!(node.ask(&Ask::new("told")).body, b"ok");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its most resident memory");
+    let peak: usize = peak.trim().trim_end_matches(" kB").parse().expect("a size");
+    assert!(peak < 32 << 10, "{peak} kB");
+}
+
+#[test]
+fn a_list_that_is_too_long_is_said_so_in_one_line_and_the_next_is_taken_in() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (node, listener) = small_gateway();
+    let long = indented(20_000, 7, &worker);
+    answer_with(&listener, &long);
+    answer_with(&listener, &long);
+    answer_with(&listener, &indented(2, 8, &worker));
+    assert!(
+        node.says("discovery: ")
+            .ends_with("discovery: the list is longer than the 4194304 bytes that fit in memory")
+    );
+    assert!(node.says("discovery").ends_with("discovery answers again"));
+    assert_eq!(node.ask(&Ask::new("told")).body, b"ok");
+}
