Keep the idle connections beside the table of workers, not in it

A gateway of 680 before 9,200 workers keeps to 270 of them, more than the 77 connections that 256 descriptors leave, so nearly every request paid for that. The pools now stand in a map that has the workers with idle connections only. A whole list keeps the names that are held already, so each is held once.

Run: the tests of node, operators, scale, discovery and streams pass.

--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -85,11 +85,15 @@
     life: u64,
     /// It may be sent to.
     serving: bool,
-    idle: Vec<Pooled>,
 }
 
+/// The idle connections to one worker, the one that has stood idle longest first; never none.
+type Pool = Vec<Pooled>;
+
 pub struct Workers {
     hosts: RefCell<FnvHashMap<ServerId, Host>>,
+    /// Only of workers to which there are idle connections: few of a long list.
+    pools: RefCell<FnvHashMap<ServerId, Pool>>,
     lives: Cell<u64>,
     open: Rc<Cell<usize>>,
     budget: usize,
@@ -118,15 +122,15 @@
     pub fn new(budget: usize, idle_limit: Duration, connect: Duration, dispatches: Rc<Cell<u64>>) -> Self {
         // A worker closes at its limit, and a request that crosses that is lost: close well before.
         let keep_most = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
-        let (hosts, lives, keep) = (RefCell::default(), Cell::new(0), Cell::new(keep_most));
         Self {
-            hosts,
-            lives,
+            hosts: RefCell::default(),
+            pools: RefCell::default(),
+            lives: Cell::new(0),
             open: Rc::default(),
             budget,
             share: Cell::new(budget),
             keep_most,
-            keep,
+            keep: Cell::new(keep_most),
             connect,
             dispatches,
         }
@@ -135,24 +139,30 @@
     /// Takes in the list: the whole one, or what has changed, each with its address if it has a usable one.
     /// What is not named by a whole list, or is gone, is forgotten, and its idle connections are closed.
     pub fn listed(&self, whole: bool, workers: &[Listed]) {
-        let mut hosts = self.hosts.borrow_mut();
+        let (mut hosts, mut pools) = (self.hosts.borrow_mut(), self.pools.borrow_mut());
         let mut old = if whole { std::mem::take(&mut *hosts) } else { FnvHashMap::default() };
         for Listed { server, addr } in workers {
-            let known = hosts.remove(&server.id).or_else(|| old.remove(&server.id));
+            let known = hosts.remove_entry(&server.id).or_else(|| old.remove_entry(&server.id));
+            // The name that is held already is kept, so that each is held once.
+            let (id, known) = known.map_or_else(|| (server.id.clone(), None), |(id, host)| (id, Some(host)));
             let addr = addr.or(known.as_ref().map(|h| h.addr));
-            let (Some(addr), true) = (addr, server.lifecycle != Lifecycle::Gone) else { continue };
+            let (Some(addr), true) = (addr, server.lifecycle != Lifecycle::Gone) else {
+                pools.remove(&id);
+                continue;
+            };
             let same = known.filter(|h| h.addr == addr && h.started == server.started);
+            let renewed = same.is_none();
             let mut host = same.unwrap_or_else(|| {
                 self.lives.set(self.lives.get() + 1);
-                let (started, life) = (server.started, self.lives.get());
-                Host { addr, started, life, serving: false, idle: Vec::new() }
+                Host { addr, started: server.started, life: self.lives.get(), serving: false }
             });
             host.serving = server.lifecycle == Lifecycle::Running;
-            if !host.serving {
-                host.idle.clear();
+            if renewed || !host.serving {
+                pools.remove(&id);
             }
-            hosts.insert(server.id.clone(), host);
+            hosts.insert(id, host);
         }
+        old.keys().for_each(|id| drop(pools.remove(id)));
     }
 
     /// Operators have left the worker out and restart it: its connections are of no further use.
@@ -160,7 +170,7 @@
         if let Some(host) = self.hosts.borrow_mut().get_mut(id) {
             self.lives.set(self.lives.get() + 1);
             host.life = self.lives.get();
-            host.idle.clear();
+            self.pools.borrow_mut().remove(id);
         }
     }
 
@@ -171,9 +181,10 @@
 
     /// Closes idle connections that are dead or due.
     pub fn sweep(&self) {
-        for host in self.hosts.borrow_mut().values_mut() {
-            host.idle.retain_mut(|p| p.since.elapsed() < self.keep.get() && p.link.ready());
-        }
+        self.pools.borrow_mut().retain(|_, pool| {
+            pool.retain_mut(|p| p.since.elapsed() < self.keep.get() && p.link.ready());
+            !pool.is_empty()
+        });
     }
 
     /// Whether something new may still go to the worker that was chosen: the list has told nothing else since, and
@@ -183,13 +194,17 @@
     }
 
     fn take(&self, target: &Target) -> Option<Pooled> {
-        let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.get_mut(&target.id).filter(|h| h.life == target.life)?;
+        let mut pools = self.pools.borrow_mut();
         loop {
+            let pool = pools.get_mut(&target.id)?;
             // The last one used first, once it has rested: the others stay idle and go. A dead one is dropped here,
             // unreported.
-            let rested = host.idle.iter().rposition(|p| p.since.elapsed() >= REUSE_AFTER)?;
-            let mut pooled = host.idle.remove(rested);
+            let rested =
+                pool.iter().rposition(|p| p.life == target.life && p.since.elapsed() >= REUSE_AFTER)?;
+            let mut pooled = pool.remove(rested);
+            if pool.is_empty() {
+                pools.remove(&target.id);
+            }
             if pooled.since.elapsed() < self.keep.get() && pooled.link.ready() {
                 return Some(pooled);
             }
@@ -199,18 +214,18 @@
     /// How long until one of the idle connections has rested, if none has yet: that costs the worker less than a new
     /// one would.
     fn rests(&self, target: &Target) -> Option<Duration> {
-        let hosts = self.hosts.borrow();
-        let host = hosts.get(&target.id).filter(|h| h.life == target.life)?;
-        let longest = host.idle.iter().map(|p| p.since.elapsed()).max()?;
+        let pools = self.pools.borrow();
+        let pool = pools.get(&target.id)?.iter().filter(|p| p.life == target.life);
+        let longest = pool.map(|p| p.since.elapsed()).max()?;
         REUSE_AFTER.checked_sub(longest)
     }
 
     fn put(&self, target: &Target, mut pooled: Pooled) {
-        let mut hosts = self.hosts.borrow_mut();
-        let host = hosts.get_mut(&target.id).filter(|h| h.serving && h.life == pooled.life);
-        if let Some(host) = host.filter(|_| pooled.link.ready()) {
+        let hosts = self.hosts.borrow();
+        let serves = hosts.get(&target.id).is_some_and(|h| h.serving && h.life == pooled.life);
+        if serves && pooled.link.ready() {
             pooled.since = Instant::now();
-            host.idle.push(pooled);
+            self.pools.borrow_mut().entry(target.id.clone()).or_default().push(pooled);
         }
     }
 
@@ -221,9 +236,13 @@
     }
 
     fn close_longest_idle(&self) -> Option<()> {
-        let mut hosts = self.hosts.borrow_mut();
-        let idle = hosts.values_mut().map(|h| &mut h.idle).filter(|l| !l.is_empty());
-        idle.min_by_key(|l| l[0].since)?.remove(0);
+        let mut pools = self.pools.borrow_mut();
+        let longest = pools.iter().min_by_key(|(_, pool)| pool[0].since)?.0.clone();
+        let pool = pools.get_mut(&longest)?;
+        pool.remove(0);
+        if pool.is_empty() {
+            pools.remove(&longest);
+        }
         Some(())
     }
 
