Hand over what is known of 10,000 workers in an upgrade

The longest word between the processes of one gateway was 1 MB, some 100 bytes for each of 10,000 workers; with the times of their starts that is passed, and the new process stood alone: it had no share of the quotas and knew of no worker left out.

--- a/src/bin/yardspur/siblings.rs
+++ b/src/bin/yardspur/siblings.rs
@@ -36,8 +36,6 @@
 const MEET: Duration = Duration::from_millis(500);
 /// Pause after a failure to accept.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Longest word: some 200 bytes for each worker.
-const MAX_WORD: u64 = 1 << 20;
 /// Words that may wait for a sibling; one that takes none is as good as gone.
 const WAITING: usize = 64;
 /// The words' form; a process that speaks another one is not talked to.
@@ -168,7 +166,7 @@
     let first = async {
         let socket = UnixStream::connect(path).await.map_err(Fault::Socket)?;
         let (reader, mut writer) = socket.into_split();
-        let mut lines = Lines::new(reader);
+        let mut lines = Lines::new(reader, hub);
         say(&mut writer, &Word::Hello { form: FORM, node: hub.config().name.clone() }).await?;
         Ok((lines.next().await?, lines, writer))
     };
@@ -200,7 +198,7 @@
 
 async fn answer(hub: &Rc<Hub>, socket: UnixStream) -> Result<(), Fault> {
     let (reader, writer) = socket.into_split();
-    let mut lines = Lines::new(reader);
+    let mut lines = Lines::new(reader, hub);
     match timeout(MEET, lines.next()).await.map_err(|_| Fault::Silent)?? {
         Word::Hello { form: FORM, node } if node == hub.config().name => {}
         _ => return Err(Fault::Foreign),
@@ -252,16 +250,20 @@
     writer.write_all(&line).await.map_err(Fault::Socket)
 }
 
-struct Lines(BufReader<OwnedReadHalf>);
+struct Lines {
+    reader: BufReader<OwnedReadHalf>,
+    /// Longest word, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    most: u64,
+}
 
 impl Lines {
-    fn new(reader: OwnedReadHalf) -> Self {
-        Self(BufReader::new(reader))
+    fn new(reader: OwnedReadHalf, hub: &Hub) -> Self {
+        Self { reader: BufReader::new(reader), most: hub.config().list_bound() as u64 }
     }
 
     async fn next(&mut self) -> Result<Word, Fault> {
         let mut line = Vec::new();
-        (&mut self.0).take(MAX_WORD).read_until(b'\n', &mut line).await.map_err(Fault::Socket)?;
+        (&mut self.reader).take(self.most).read_until(b'\n', &mut line).await.map_err(Fault::Socket)?;
         match line.last() {
             Some(b'\n') => serde_json::from_slice(&line).map_err(Fault::Malformed),
             None => Err(Fault::Socket(io::ErrorKind::UnexpectedEof.into())),
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -230,6 +230,31 @@
     (old, new)
 }
 
+#[test]
+fn in_an_upgrade_what_is_known_of_10000_workers_is_handed_over_with_32_mb() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let nobody = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port");
+    let (mut setup, _discovery) = operated(&[]);
+    let id = |i: usize| format!("worker-hall-a-{i:05}");
+    setup.known = (0..9_999).map(|i| entry(&id(i), nobody, "DRAINING")).collect();
+    setup.known.push(entry(&id(9_999), worker.addr, "SERVING"));
+    setup.known.iter_mut().for_each(|entry| entry["started_ms"] = serde_json::json!(1_700_000_000_123_u64));
+    // Lists that bring nothing, so that only the start's holds.
+    setup.discovery = nobody;
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("long"));
+    let mut config = setup.config();
+    config["limits"]["memory_mb"] = serde_json::json!(32);
+    let config = config.to_string();
+    let start = Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() };
+    let old = setup.start_on(&config, start);
+    let start = Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() };
+    let new = setup.start_on(&config, start);
+    old.says("one of 2");
+    drop(old);
+    new.says("one of 1");
+    assert_eq!(new.ask(&Ask::submit("after")).body, b"ok");
+}
+
 #[test]
 fn in_an_upgrade_both_heed_a_call_to_either_and_a_file_torn_meanwhile_does_no_harm() {
     let (one, two) = (Worker::start(Does::Serves("one")), Worker::start(Does::Serves("two")));
