Take in a list that comes in chunks for longer than 50 ms

An answer whose length is not told passes on in pieces after 50 ms, as workers' answers should; the call for the list took that as a broken connection. A long list in chunks easily takes longer, and would never have been taken in. How long an answer is gathered is now the caller's to say: for the list, its whole time.

Run: the new test fails on the code before (no watch comes) and passes now; the tests of scale, node, streams, discovery and adapter pass.

--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -1,7 +1,13 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt. Where beginning a watch has
 //! its price, the module says when, and the watch goes on from the list that is known.
 
-use crate::{gateway::Hub, link::Link, list::List, stream::Outgoing, workers::Trace};
+use crate::{
+    gateway::Hub,
+    link::{Bounds, Link},
+    list::List,
+    stream::Outgoing,
+    workers::Trace,
+};
 use bytes::Bytes;
 use hyper::{Request, StatusCode, Uri, header, http::response::Parts};
 use std::{cell::Cell, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
@@ -159,7 +165,8 @@
 ) -> Result<Bytes, Fault> {
     let kept_on = kept.take().and_then(|mut link| link.ready().then_some(link));
     let hold = if kept_on.is_some() && version.is_some() { HOLD } else { Duration::ZERO };
-    let limit = Instant::now() + if hold.is_zero() { FIRST } else { HOLD + PATIENCE };
+    let span = if hold.is_zero() { FIRST } else { HOLD + PATIENCE };
+    let limit = Instant::now() + span;
     let mut link = match kept_on {
         Some(link) => link,
         None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
@@ -173,12 +180,13 @@
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
     let is_too_long = Cell::new(false);
-    // Asked only about an answer that does not fit, or one of no told length that takes its time.
-    let begin = |_: &Parts, length: Option<u64>| {
-        is_too_long.set(length.is_some());
+    // Asked only about an answer that does not fit, as `limit` is the time for all others.
+    let begin = |_: &Parts, _: Option<u64>| {
+        is_too_long.set(true);
         None
     };
-    let answer = timeout_at(limit, link.exchange(request, None, most, &begin)).await;
+    let bounds = Bounds { most, patience: span };
+    let answer = timeout_at(limit, link.exchange(request, None, bounds, &begin)).await;
     let broken = |_| if is_too_long.get() { Fault::TooLong(most) } else { Fault::Broken };
     let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(broken)?;
     if parts.status != StatusCode::OK {
--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -51,9 +51,6 @@
 /// Longest time without a byte of an answer that is gathered: one that stops half way is spoilt, and the request's
 /// time is better spent elsewhere.
 const STALL: Duration = Duration::from_millis(400);
-/// An answer whose length is not told begins to pass on after so long: until then it may turn out to be small, and
-/// a break can be made good elsewhere.
-const GATHER: Duration = Duration::from_millis(50);
 /// Longest time without a byte of an answer that has begun to pass on: nothing better can be done with it.
 const BEGUN_STALL: Duration = Duration::from_secs(5);
 
@@ -214,13 +211,13 @@
         !has_input(&self.socket) && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
     }
 
-    /// Sends one request and reads the whole answer, of `most` at most, unless `begin` takes a larger one in pieces.
-    /// Then it returns once that has been passed on, with nothing of it.
+    /// Sends one request and reads the whole answer, unless `begin` takes one that passes `bounds` in pieces. Then it
+    /// returns once that has been passed on, with nothing of it.
     pub async fn exchange(
         &mut self,
         request: Request<Outgoing>,
         ended: Option<Rc<Cell<bool>>>,
-        most: usize,
+        bounds: Bounds,
         begin: &Begin<'_>,
     ) -> Result<(Parts, Bytes), Failure> {
         self.progress.begin(request.body().size_hint().exact().map(|length| length as usize), ended);
@@ -233,7 +230,7 @@
             };
             headed.set(true);
             let (parts, body) = response.into_parts();
-            let bytes = gather(&parts, body, most, begin).await.ok_or(false)?;
+            let bytes = gather(&parts, body, bounds, begin).await.ok_or(false)?;
             Ok((parts, bytes))
         });
         let (mut over, mut span) = (false, None);
@@ -262,11 +259,22 @@
     }
 }
 
+/// What of an answer is gathered whole.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Most bytes.
+    pub most: usize,
+    /// Longest time for one whose length is not told: until then it may turn out to be small, and a break can be made
+    /// good elsewhere.
+    pub patience: Duration,
+}
+
 /// Takes a large answer, of this length if that is known: its pieces go to what is returned, or nowhere.
 pub type Begin<'a> = dyn Fn(&Parts, Option<u64>) -> Option<mpsc::Sender<Piece>> + 'a;
 
 /// Reads an answer's body to its end; `None`: it is spoilt, too long, or nobody wants it any more.
-async fn gather(parts: &Parts, mut body: Incoming, most: usize, begin: &Begin<'_>) -> Option<Bytes> {
+async fn gather(parts: &Parts, mut body: Incoming, bounds: Bounds, begin: &Begin<'_>) -> Option<Bytes> {
+    let Bounds { most, patience } = bounds;
     let length = body.size_hint().exact();
     // One whose end only a close tells might be cut off unseen, unless its head announces that close.
     let closes = parts.version == Version::HTTP_10
@@ -276,7 +284,7 @@
     }
     let told = length.filter(|length| *length <= most as u64);
     let mut whole = BytesMut::with_capacity(told.unwrap_or(0) as usize);
-    let patience = sleep(GATHER);
+    let patience = sleep(patience);
     tokio::pin!(patience);
     while length.is_none_or(|l| l <= most as u64) && whole.len() <= most {
         let frame = tokio::select! {
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{MAX_BODY, MAX_WHOLE},
-    link::{Begin, Failure, Link, Progress},
+    link::{Begin, Bounds, Failure, Link, Progress},
     list::Listed,
     stream::{Content, Outgoing, Piece},
 };
@@ -61,6 +61,9 @@
 /// milliseconds later, and what comes while a request is out is read as that one's answer.
 const REUSE_AFTER: Duration = Duration::from_millis(10);
 
+/// An answer that is larger, or of no told length and takes longer, passes through in pieces.
+const BOUNDS: Bounds = Bounds { most: MAX_WHOLE, patience: Duration::from_millis(50) };
+
 struct Pooled {
     link: Link,
     /// The worker's life that it was opened in.
@@ -289,7 +292,7 @@
                 return Err(Status::Moot);
             }
             let request = build()?;
-            match pooled.link.exchange(request, ended.cloned(), MAX_WHOLE, begin).await {
+            match pooled.link.exchange(request, ended.cloned(), BOUNDS, begin).await {
                 Ok((parts, bytes)) => {
                     if kept && idle >= self.keep.get() / 2 {
                         self.keep.set((self.keep.get() * 5 / 4).min(self.keep_most));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -200,3 +200,23 @@
     assert!(node.says("discovery").ends_with("discovery answers again"));
     assert_eq!(node.ask(&Ask::new("told")).body, b"ok");
 }
+
+#[test]
+fn a_long_list_that_comes_slowly_in_chunks_is_taken_in() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (node, listener) = small_gateway();
+    let body = indented(9200, 7, &worker);
+    let (mut socket, _) = listener.accept().expect("a call");
+    read_message(&mut BufReader::new(&socket)).expect("a call");
+    socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("it reads");
+    for piece in body.as_bytes().chunks(body.len().div_ceil(5)) {
+        std::thread::sleep(Duration::from_millis(30));
+        socket.write_all(format!("{:x}\r\n", piece.len()).as_bytes()).expect("it reads");
+        socket.write_all(piece).expect("it reads");
+        socket.write_all(b"\r\n").expect("it reads");
+    }
+    socket.write_all(b"0\r\n\r\n").expect("it reads");
+    let next = read_message(&mut BufReader::new(&socket)).expect("a watch");
+    assert!(next.line.contains("from=7"), "{}", next.line);
+    assert_eq!(node.ask(&Ask::new("told")).body, b"ok");
+}
