Test the table of servers against a walk over all of them

5,000 random lists, attempts and calls by hand: the usable servers, the ejected ones and the targets are those that a plain walk finds.

--- a/src/server_table.rs
+++ b/src/server_table.rs
@@ -171,3 +171,7 @@
         &mut self.hosts[place]
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/server_table.rs"]
+mod tests;
