--- a/src/bin/yardspur/list.rs
+++ b/src/bin/yardspur/list.rs
@@ -44,7 +44,9 @@
 impl List<'_> {
     /// The workers whose state is known; `zones` are the names of the zones by number.
     pub fn workers(&self, zones: &[String]) -> Vec<Listed> {
-        self.servers.iter().filter_map(|entry| entry.listed(zones)).collect()
+        let mut workers = Vec::with_capacity(self.servers.len());
+        workers.extend(self.servers.iter().filter_map(|entry| entry.listed(zones)));
+        workers
     }
 }
 
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -144,6 +144,7 @@
     pub fn listed(&self, whole: bool, workers: &[Listed]) {
         let (mut hosts, mut pools) = (self.hosts.borrow_mut(), self.pools.borrow_mut());
         let mut old = if whole { std::mem::take(&mut *hosts) } else { FnvHashMap::default() };
+        hosts.reserve(workers.len());
         for Listed { server, addr } in workers {
             let known = hosts.remove_entry(&server.id).or_else(|| old.remove_entry(&server.id));
             // The name that is held already is kept, so that each is held once.
