Write the tests' long lists before the gateway asks for them

Under load the test of a list that is too long failed 2 times in the first 14 (four busy loops on the two cores that it ran on): writing 20,000 entries took longer than the gateway waits for its first answer, so its first line was "no answer". The lists are now ready before the gateway starts; what is asserted stays as it was.

--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -172,8 +172,9 @@
 #[test]
 fn an_indented_list_of_9200_workers_is_taken_in_with_32_mb() {
     let worker = Worker::start(Does::Serves("ok"));
-    let (node, listener) = small_gateway();
+    // Before the gateway asks, as it waits for seconds only.
     let body = indented(9200, 7, &worker);
+    let (node, listener) = small_gateway();
     assert!(body.len() > 2 << 20, "{} bytes", body.len());
     let socket = answer_with(&listener, &body);
     let next = read_message(&mut BufReader::new(&socket)).expect("a watch");
@@ -188,11 +189,11 @@
 #[test]
 fn a_list_that_is_too_long_is_said_so_in_one_line_and_the_next_is_taken_in() {
     let worker = Worker::start(Does::Serves("ok"));
+    let (long, short) = (indented(20_000, 7, &worker), indented(2, 8, &worker));
     let (node, listener) = small_gateway();
-    let long = indented(20_000, 7, &worker);
     answer_with(&listener, &long);
     answer_with(&listener, &long);
-    answer_with(&listener, &indented(2, 8, &worker));
+    answer_with(&listener, &short);
     assert!(
         node.says("discovery: ")
             .ends_with("discovery: the list is longer than the 4194304 bytes that fit in memory")
@@ -204,8 +205,9 @@
 #[test]
 fn a_long_list_that_comes_slowly_in_chunks_is_taken_in() {
     let worker = Worker::start(Does::Serves("ok"));
-    let (node, listener) = small_gateway();
+    // Before the gateway asks, as it waits for seconds only.
     let body = indented(9200, 7, &worker);
+    let (node, listener) = small_gateway();
     let (mut socket, _) = listener.accept().expect("a call");
     read_message(&mut BufReader::new(&socket)).expect("a call");
     socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").expect("it reads");
