--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,7 +2,12 @@
 
 use clap::{Parser, Subcommand};
 use oliverack_lab::{fleet, process};
-use std::process::ExitCode;
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::{alloc::System, process::ExitCode};
+
+/// Counts the bytes that are allocated: the measurements of state rest on it.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 /// Measures the gatekeeper at scale.
 #[derive(Debug, Parser)]
--- /dev/null
+++ b/lab/src/process/child.rs
@@ -0,0 +1,186 @@
+//! The built program as a child process that ends with its handle.
+
+use super::{Error, proc_reading};
+use serde_json::{Value, json};
+use std::{
+    collections::VecDeque,
+    io::{BufRead, BufReader, Write},
+    net::SocketAddr,
+    path::Path,
+    process::{Child, ChildStderr, Command, Stdio},
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{RecvTimeoutError, Sender, channel},
+    },
+    thread,
+    time::Duration,
+};
+use tempfile::NamedTempFile;
+
+/// How long the program may take to listen.
+const START_LIMIT: Duration = Duration::from_secs(10);
+/// How long the program gets to finish its turn before its processor time is read.
+const REST: Duration = Duration::from_millis(5);
+/// What the program's log says before the address that it has bound.
+const LISTENS: &str = " listens on ";
+/// Lines of the log that are kept.
+const KEPT_LINES: usize = 20;
+
+/// What the program's configuration says, beside the fixed settings.
+#[derive(Debug)]
+pub struct Configuration {
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// Where the counter listens.
+    pub counter: Option<SocketAddr>,
+    /// The list of workers known at the start.
+    pub known: Value,
+    /// How many gateways there are.
+    pub gateways: u32,
+    /// Its limit on memory, in MB.
+    pub memory_mb: usize,
+}
+
+/// Name of the plan without a quota.
+pub const PLAN_FREE: &str = "free";
+/// Name of the plan whose quota comes from the counter.
+pub const PLAN_METERED: &str = "metered";
+/// The one class of requests.
+pub const CLASS: &str = "lookup";
+
+impl Configuration {
+    fn file(&self) -> Value {
+        json!({
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": self.discovery,
+            "seed": "8c1f30d27a5be964",
+            "counter": self.counter,
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": 1024},
+            "known": self.known,
+            "settings": self.settings(),
+        })
+    }
+
+    fn settings(&self) -> Value {
+        json!({
+            "Classes": [
+                {"Name": CLASS, "Effect": "idempotent", "Group": "all", "Slo": 2.0, "Deadline": 5.0},
+            ],
+            "Dcs": ["zone-a"],
+            "Discovery": "push",
+            "Locality": 0,
+            "Me": 0,
+            "PeersTotal": self.gateways,
+            "Step": 0.002,
+            "Domain": {"HasCounter": self.counter.is_some(), "CountLimit": 0.05, "MaxUnits": 1, "PostPaid": false},
+            "Limits": {
+                "Cancelling": true, "ConnIdle": 30.0, "ConnectTimeout": 0.25, "SendCap": 3,
+                "SecondCopies": true, "RetryAfter": true, "MaxRetryAfter": 1.0, "MayProbe": false, "OpenCap": 1000,
+            },
+            "Plans": [
+                {"Name": PLAN_FREE, "QuotaRate": 0.0, "Depth": 0.0},
+                {"Name": PLAN_METERED, "QuotaRate": 1000.0, "Depth": 2000.0, "OverrunCost": 1.0},
+            ],
+            "Rules": {"Cold": 16.0, "ColdFrom": 0.25, "Fall": 1.0, "FallMultiple": 4.0},
+        })
+    }
+}
+
+/// The last lines of the program's log.
+type Log = Arc<Mutex<VecDeque<String>>>;
+
+/// The program, running; killed when this is dropped.
+#[derive(Debug)]
+pub struct ChildProgram {
+    /// Where it takes clients.
+    pub address: SocketAddr,
+    child: KilledOnDrop,
+    log: Log,
+    _configuration: NamedTempFile,
+}
+
+/// A child process that is killed and waited for when this is dropped.
+#[derive(Debug)]
+struct KilledOnDrop(Child);
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // Both fail only for a process that has ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+impl ChildProgram {
+    /// Starts the program and waits until it listens.
+    ///
+    /// # Errors
+    /// It cannot be started, or ends or says nothing before it listens.
+    pub fn start(program: &Path, configuration: &Configuration) -> Result<Self, Error> {
+        let file = write_configuration(configuration)
+            .map_err(|error| Error::System("writing the program's configuration", error))?;
+        let mut command = Command::new(program);
+        command.env("NODE_CONFIG", file.path()).env_remove("NODE_OPERATOR").env_remove("NODE_ACCEPT_FD");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let child = command.spawn().map_err(|error| Error::System("starting the program", error))?;
+        let mut child = KilledOnDrop(child);
+        let stderr = child.0.stderr.take().ok_or(Error::Reading("log of the program"))?;
+        let log = Log::default();
+        let (bound, address) = channel();
+        let kept = log.clone();
+        thread::spawn(move || follow_log(stderr, &kept, &bound));
+        let address = address.recv_timeout(START_LIMIT).map_err(|error| match error {
+            RecvTimeoutError::Timeout => Error::Late("the program's listening socket", START_LIMIT),
+            RecvTimeoutError::Disconnected => Error::Ended(last_line(&log)),
+        })?;
+        Ok(Self { address, child, log, _configuration: file })
+    }
+
+    /// Processor time that it has had, once it rests: the kernel adds a thread's time up when it goes to sleep.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn processor_time(&self) -> Result<Duration, Error> {
+        thread::sleep(REST);
+        proc_reading::processor_time(self.child.0.id())
+    }
+
+    /// Its memory.
+    ///
+    /// # Errors
+    /// It has ended.
+    pub fn memory(&self) -> Result<proc_reading::Memory, Error> {
+        proc_reading::memory(self.child.0.id())
+    }
+
+    /// The last line of its log; empty where it said nothing.
+    pub fn last_line(&self) -> String {
+        last_line(&self.log)
+    }
+}
+
+fn last_line(log: &Log) -> String {
+    log.lock().unwrap_or_else(PoisonError::into_inner).back().cloned().unwrap_or_default()
+}
+
+fn write_configuration(configuration: &Configuration) -> std::io::Result<NamedTempFile> {
+    let mut file = NamedTempFile::new()?;
+    file.write_all(configuration.file().to_string().as_bytes())?;
+    file.flush()?;
+    Ok(file)
+}
+
+/// Keeps the last lines of the log, and tells of the address that it names.
+fn follow_log(stderr: ChildStderr, log: &Log, bound: &Sender<SocketAddr>) {
+    for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        if let Some(address) = line.split_once(LISTENS).and_then(|(_, address)| address.trim().parse().ok()) {
+            let _ = bound.send(address);
+        }
+        let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+        if log.len() == KEPT_LINES {
+            log.pop_front();
+        }
+        log.push_back(line);
+    }
+}
--- /dev/null
+++ b/lab/src/process/error.rs
@@ -0,0 +1,64 @@
+//! Why a measurement could not be made.
+
+use std::{fmt, io, path::PathBuf, time::Duration};
+use weirusher::SettingsError;
+
+/// Why a measurement could not be made.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum Error {
+    /// An argument cannot be used; the text says why.
+    Argument(&'static str),
+    /// No program stands at this path.
+    NoProgram(PathBuf),
+    /// The named operation of the system failed.
+    System(&'static str, io::Error),
+    /// The policy rejects the settings.
+    Settings(SettingsError),
+    /// A reading of `/proc` holds no such field.
+    Reading(&'static str),
+    /// The named event did not come within the limit.
+    Late(&'static str, Duration),
+    /// The program ended before it listened; the text is the last line of its log.
+    Ended(String),
+    /// The program did not take in a list of workers; the text is the last line of its log.
+    ListNotTaken(String),
+    /// The program holds more memory than its limit, both in bytes.
+    OverMemory {
+        /// The most that it held.
+        peak: u64,
+        /// What its configuration allows.
+        limit: u64,
+    },
+    /// Too few requests were served for their cost to mean anything.
+    FewServed {
+        /// Requests answered 200.
+        served: u64,
+        /// Requests sent.
+        sent: u64,
+    },
+    /// A checked run has crossed these bounds.
+    Check(Vec<String>),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Argument(reason) => f.write_str(reason),
+            Self::NoProgram(path) => write!(f, "there is no program at {}", path.display()),
+            Self::System(operation, error) => write!(f, "{operation}: {error}"),
+            Self::Settings(error) => write!(f, "the settings: {error}"),
+            Self::Reading(field) => write!(f, "/proc holds no readable {field}"),
+            Self::Late(event, limit) => write!(f, "{event} did not come within {limit:?}"),
+            Self::Ended(line) => write!(f, "the program ended before it listened; last log line: {line}"),
+            Self::ListNotTaken(line) => write!(f, "the list was not taken in; last log line: {line}"),
+            Self::OverMemory { peak, limit } => {
+                write!(f, "peak memory of {} KiB is over the limit of {} KiB", peak / 1024, limit / 1024)
+            }
+            Self::FewServed { served, sent } => write!(f, "only {served} of {sent} requests were served"),
+            Self::Check(crossed) => write!(f, "bounds crossed: {}", crossed.join("; ")),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/lab/src/process/http.rs
@@ -0,0 +1,76 @@
+//! The little of HTTP/1.1 that the stand-ins and the load need: messages with a `Content-Length` on kept connections.
+
+use std::io::{self, BufRead};
+
+/// Longest body that is read.
+const MOST_BODY: usize = 16 << 20;
+
+/// One request or response.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Message {
+    /// The request line or status line.
+    pub start_line: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// The status code; `None` where the start line is no status line.
+    pub fn status(&self) -> Option<u16> {
+        self.start_line.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
+    }
+
+    /// The value of a parameter in the request's query.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let target = self.start_line.split(' ').nth(1)?;
+        let (_, query) = target.split_once('?')?;
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name).map(|(_, v)| v)
+    }
+}
+
+/// Reads one message; `None` at the end of the stream.
+///
+/// # Errors
+/// The stream breaks, or holds something that is not understood.
+pub fn read_message(from: &mut impl BufRead) -> io::Result<Option<Message>> {
+    let mut message = Message::default();
+    if from.read_line(&mut message.start_line)? == 0 {
+        return Ok(None);
+    }
+    message.start_line.truncate(message.start_line.trim_end().len());
+    let length = read_headers(from)?;
+    message.body.resize(length, 0);
+    from.read_exact(&mut message.body)?;
+    Ok(Some(message))
+}
+
+/// Reads the headers to their end and returns the length of the body.
+fn read_headers(from: &mut impl BufRead) -> io::Result<usize> {
+    let malformed = |text| io::Error::new(io::ErrorKind::InvalidData, text);
+    let mut length = 0;
+    let mut line = String::new();
+    loop {
+        line.clear();
+        if from.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let text = line.trim_end();
+        if text.is_empty() {
+            return Ok(length);
+        }
+        let (name, value) = text.split_once(':').ok_or_else(|| malformed("a header without a colon"))?;
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse().map_err(|_| malformed("an unreadable content length"))?;
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(malformed("a transfer encoding"));
+        }
+        if length > MOST_BODY {
+            return Err(malformed("a body that is too long"));
+        }
+    }
+}
+
+/// A 200 response with this body.
+pub fn ok_response(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
--- /dev/null
+++ b/lab/src/process/load.rs
@@ -0,0 +1,99 @@
+//! The load: clients that each send one request after another on a kept connection.
+
+use super::{
+    Error,
+    child::{CLASS, PLAN_FREE, PLAN_METERED},
+    http,
+};
+use std::{
+    io::{self, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    ops::Range,
+    panic::resume_unwind,
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+    time::Duration,
+};
+
+/// An answer that takes longer is given up.
+const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Gateways that carry a tenant's requests, where there are so many.
+const SPREAD: u32 = 3;
+
+/// Numbers of the requests, unique in this process.
+static REQUESTS: AtomicU64 = AtomicU64::new(1);
+
+/// What is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Requests in all.
+    pub requests: u64,
+    /// Connections that share them.
+    pub connections: u64,
+    /// Tenants that they come from in turn; `None`: one tenant, without a quota.
+    pub metered_tenants: Option<u64>,
+    /// Gateways in the program's settings.
+    pub gateways: u32,
+}
+
+/// How the requests ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests answered 200.
+    pub served: u64,
+}
+
+impl Load {
+    /// Sends the requests and waits for all answers.
+    ///
+    /// # Errors
+    /// A connection fails.
+    pub fn run(&self, address: SocketAddr) -> Result<Outcome, Error> {
+        let share = self.requests.div_ceil(self.connections);
+        let clients: Vec<_> = (0..self.connections)
+            .map(|client| {
+                let load = *self;
+                let first = (client * share).min(load.requests);
+                let last = (first + share).min(load.requests);
+                thread::spawn(move || load.run_client(address, first..last))
+            })
+            .collect();
+        let mut total = Outcome::default();
+        for client in clients {
+            let outcome = client.join().unwrap_or_else(|panic| resume_unwind(panic));
+            let outcome = outcome.map_err(|error| Error::System("sending requests", error))?;
+            total.sent += outcome.sent;
+            total.served += outcome.served;
+        }
+        Ok(total)
+    }
+
+    fn run_client(&self, address: SocketAddr, requests: Range<u64>) -> io::Result<Outcome> {
+        let mut socket = TcpStream::connect(address)?;
+        socket.set_nodelay(true)?;
+        socket.set_read_timeout(Some(ANSWER_LIMIT))?;
+        let mut reader = BufReader::new(socket.try_clone()?);
+        let mut outcome = Outcome::default();
+        for number in requests {
+            socket.write_all(self.request(number).as_bytes())?;
+            let answer = http::read_message(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+            outcome.sent += 1;
+            outcome.served += u64::from(answer.status() == Some(200));
+        }
+        Ok(outcome)
+    }
+
+    fn request(&self, number: u64) -> String {
+        let transaction = REQUESTS.fetch_add(1, Ordering::Relaxed);
+        let plan = if self.metered_tenants.is_some() { PLAN_METERED } else { PLAN_FREE };
+        let tenant = number % self.metered_tenants.unwrap_or(1).max(1);
+        let spread = SPREAD.min(self.gateways);
+        format!(
+            "GET /{CLASS} HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {transaction:016x}\r\nX-Lane: {CLASS}\r\n\
+             X-Plan: {plan}\r\nX-Customer: {tenant:016x}\r\nX-Remaining: 4.0\r\n\
+             X-Quota: units=1,spread={spread},first=0\r\n\r\n"
+        )
+    }
+}
--- a/lab/src/process/mod.rs
+++ b/lab/src/process/mod.rs
@@ -1,28 +1,47 @@
-//! To be written.
+//! The `process` command: benchmarks of the policy alone and of the built program, at growing counts of workers and
+//! tenants.
 
-use std::fmt;
+pub mod child;
+pub mod error;
+pub mod http;
+pub mod load;
+pub mod policy;
+pub mod policy_driver;
+pub mod policy_memory;
+pub mod proc_reading;
+pub mod program;
+pub mod program_row;
+pub mod report;
+pub mod stand_in_counter;
+pub mod stand_in_discovery;
+pub mod stand_in_workers;
+
+pub use error::Error;
 
 /// Arguments of the `process` command.
 #[derive(Debug, clap::Args)]
-pub struct Arguments {}
-
-/// Why a measurement could not be made.
-#[derive(Debug)]
-#[non_exhaustive]
-pub enum Error {}
-
-impl fmt::Display for Error {
-    fn fmt(&self, _f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match *self {}
-    }
+pub struct Arguments {
+    #[command(subcommand)]
+    part: Part,
 }
 
-impl std::error::Error for Error {}
+/// What is measured.
+#[derive(Debug, clap::Subcommand)]
+enum Part {
+    /// Measures the built program, as a child process against stand-ins on loopback.
+    Program(program::Arguments),
+    /// Measures the policy alone, inside this process: processor time and bytes of state.
+    Policy(policy::Arguments),
+}
 
-/// Runs the command.
+/// Runs the command: measures, prints the table, and writes the JSON lines where a file is named.
 ///
 /// # Errors
-/// None yet.
-pub fn run(_arguments: &Arguments) -> Result<(), Error> {
-    Ok(())
+/// Arguments that cannot be used, a report that cannot be written, and bounds that a checked run has crossed. Rows
+/// that could not be measured are part of the report, and no errors.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    match &arguments.part {
+        Part::Program(arguments) => program::run(arguments),
+        Part::Policy(arguments) => policy::run(arguments),
+    }
 }
--- /dev/null
+++ b/lab/src/process/policy_driver.rs
@@ -0,0 +1,234 @@
+//! Drives one gateway's policy without any I/O: workers and counter answer at once.
+
+use super::Error;
+use std::{
+    collections::{BTreeSet, HashMap, VecDeque},
+    sync::Arc,
+};
+use weirusher::{
+    Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Plan, Request, Server,
+    ServerId, Settings, Status,
+};
+
+/// The seed of every gateway, so that runs differ in nothing but time.
+const SEED: u64 = 1;
+/// Seconds of virtual time between two requests.
+const REQUEST_SPACING: f64 = 0.001;
+/// Seconds of virtual time that a worker's answer takes.
+const ANSWER_TIME: f64 = 0.005;
+/// Seconds of virtual time that a counter call takes.
+const COUNTER_TIME: f64 = 0.001;
+/// Seconds of virtual time that a client waits.
+const CLIENT_PATIENCE: f64 = 5.0;
+/// Gateways that carry a tenant's requests, where there are so many.
+const SPREAD: u32 = 3;
+/// Index of the plan without a quota.
+const PLAN_FREE: usize = 0;
+/// Index of the plan with one.
+const PLAN_METERED: usize = 1;
+
+/// A gateway, its clock, and what it has asked for.
+#[derive(Debug)]
+pub struct Driver {
+    gateway: Gateway,
+    now: f64,
+    metered: bool,
+    spread: u32,
+    requests: u64,
+    tenants: Vec<CustomerId>,
+    counts: HashMap<u64, f64>,
+    /// Timers that were asked for and are not yet delivered.
+    timers: VecDeque<u64>,
+    /// Attempts that are out.
+    open: Vec<Attempt>,
+    actions: Vec<Action>,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    job: JobId,
+    server: ServerId,
+}
+
+/// What a driver is built for.
+#[derive(Debug, Clone, Copy)]
+pub struct Scenario {
+    /// Gateways in the settings.
+    pub gateways: u32,
+    /// Tenants that requests come from in turn.
+    pub tenants: usize,
+    /// The tenants have a quota, and there is a counter.
+    pub metered: bool,
+}
+
+impl Scenario {
+    fn settings(self) -> Settings {
+        let mut class = Class::default();
+        class.aim = 2.0;
+        let mut metered = Plan::default();
+        metered.rate = 1000.0;
+        metered.burst = 2000.0;
+        metered.pays = 1.0;
+        metered.overrun_cost = 1.0;
+        let mut settings = Settings::default();
+        settings.gateways = self.gateways;
+        settings.classes = vec![class];
+        settings.plans = vec![Plan::default(), metered];
+        settings.has_counter = self.metered;
+        settings.second_copies = true;
+        settings.max_attempts = 3;
+        settings
+    }
+}
+
+/// The name of a worker, as the real lists have them.
+fn name(number: usize) -> ServerId {
+    format!("s-{number:08x}").into()
+}
+
+/// The entry of a worker by its number.
+fn server(number: usize, lifecycle: Lifecycle) -> Server {
+    Server { id: name(number), zone: 0, cell: 0, started: 0.0, lifecycle }
+}
+
+impl Driver {
+    /// A gateway without workers.
+    ///
+    /// # Errors
+    /// The policy rejects the settings.
+    pub fn new(scenario: Scenario) -> Result<Self, Error> {
+        let gateway = Gateway::new(scenario.settings(), SEED).map_err(Error::Settings)?;
+        let tenants = (0..scenario.tenants).map(|number| format!("{number:016x}").into()).collect();
+        Ok(Self {
+            gateway,
+            now: 1.0,
+            metered: scenario.metered,
+            spread: SPREAD.min(scenario.gateways),
+            requests: 0,
+            tenants,
+            counts: HashMap::new(),
+            timers: VecDeque::new(),
+            open: Vec::new(),
+            actions: Vec::new(),
+        })
+    }
+
+    /// Gives the gateway a whole list, as known at its start, which also starts its sweeps. The timer that it asks
+    /// for is the oldest of [`Driver::deliver_timer`].
+    pub fn list(&mut self, workers: usize) {
+        let servers = (0..workers).map(|number| server(number, Lifecycle::Running)).collect();
+        self.handle(Event::List { kind: ListKind::Stale, servers });
+    }
+
+    /// Changes one worker's entry.
+    pub fn change(&mut self, number: usize, lifecycle: Lifecycle) {
+        self.now += REQUEST_SPACING;
+        let servers = vec![server(number, lifecycle)];
+        self.handle(Event::List { kind: ListKind::Changes, servers });
+    }
+
+    /// One request, from its arrival to its answer; whether it was served.
+    pub fn request(&mut self) -> bool {
+        self.open_request();
+        self.now += ANSWER_TIME;
+        self.answer_all(None)
+    }
+
+    /// The same; adds the workers that it was sent to.
+    pub fn request_noting(&mut self, reached: &mut BTreeSet<ServerId>) -> bool {
+        self.open_request();
+        self.now += ANSWER_TIME;
+        self.answer_all(Some(reached))
+    }
+
+    /// A request arrives; its attempts stay out. How many are out in all.
+    pub fn open_request(&mut self) -> usize {
+        self.now += REQUEST_SPACING;
+        let tenant = (self.requests % self.tenants.len().max(1) as u64) as usize;
+        self.requests += 1;
+        let request = Request {
+            job: format!("{:016x}", self.requests).into(),
+            units: 1.0,
+            expires: self.now + CLIENT_PATIENCE,
+            plan: if self.metered { PLAN_METERED } else { PLAN_FREE },
+            spread: self.spread,
+            first: 0,
+            class: 0,
+            customer: Arc::clone(&self.tenants[tenant]),
+            repeat: false,
+        };
+        self.handle(Event::Request(request));
+        self.open.len()
+    }
+
+    /// Every attempt that is out is answered 200; whether there was any.
+    fn answer_all(&mut self, mut reached: Option<&mut BTreeSet<ServerId>>) -> bool {
+        let served = !self.open.is_empty();
+        for Attempt { job, server } in std::mem::take(&mut self.open) {
+            if let Some(reached) = &mut reached {
+                reached.insert(server.clone());
+            }
+            self.handle(Event::Outcome {
+                job,
+                attempt: 0,
+                server,
+                status: Status::Ok,
+                spent: ANSWER_TIME,
+                over: true,
+                settled: None,
+                load: Load::default(),
+            });
+        }
+        served
+    }
+
+    /// Moves the clock on by so many seconds.
+    pub fn advance(&mut self, seconds: f64) {
+        self.now += seconds;
+    }
+
+    /// Delivers the oldest timer; `false` where there is none.
+    pub fn deliver_timer(&mut self) -> bool {
+        let Some(token) = self.timers.pop_front() else { return false };
+        self.handle(Event::Timer { token });
+        true
+    }
+
+    /// Timers that are not yet delivered.
+    pub fn timers(&self) -> usize {
+        self.timers.len()
+    }
+
+    /// Frees what the driver itself holds for later use, so that it does not count as the gateway's state.
+    pub fn shrink(&mut self) {
+        self.actions = Vec::new();
+        self.counts.shrink_to_fit();
+        self.timers.shrink_to_fit();
+        self.open.shrink_to_fit();
+    }
+
+    /// Hands the event over, and answers the counter calls that come of it.
+    fn handle(&mut self, event: Event) {
+        let mut event = Some(event);
+        let mut calls = VecDeque::new();
+        while let Some(next) = event.take() {
+            self.gateway.handle(self.now, next, &mut self.actions);
+            for action in self.actions.drain(..) {
+                match action {
+                    Action::Send { job, server, .. } => self.open.push(Attempt { job, server }),
+                    Action::Timer { token, .. } => self.timers.push_back(token),
+                    Action::Count { counter, amount, .. } => calls.push_back((counter, amount)),
+                    _ => {}
+                }
+            }
+            event = calls.pop_front().map(|(counter, amount)| self.count(counter, amount));
+        }
+    }
+
+    fn count(&mut self, counter: u64, amount: f64) -> Event {
+        self.now += COUNTER_TIME;
+        let total = self.counts.entry(counter).or_default();
+        *total += amount;
+        Event::Counted { counter, status: Status::Ok, total: *total, spent: COUNTER_TIME }
+    }
+}
--- /dev/null
+++ b/lab/src/process/program_row.rs
@@ -0,0 +1,224 @@
+//! One row of the program's benchmark: a new process, a list of workers, requests, and changes of the list.
+
+use super::{
+    Error,
+    child::{ChildProgram, Configuration},
+    load::Load,
+    report::{Axis, Metric, Report, Subject},
+    stand_in_counter::StandInCounter,
+    stand_in_discovery::{Entry, Form, List, Seen, StandInDiscovery, State},
+    stand_in_workers::StandInWorkers,
+};
+use std::{path::Path, time::Duration};
+
+/// Workers in the configuration's list; the rest come by discovery.
+const KNOWN_WORKERS: usize = 10;
+/// Workers in the rows of tenants.
+const TENANT_ROW_WORKERS: usize = 100;
+/// An event of discovery that takes longer is given up.
+const EVENT_LIMIT: Duration = Duration::from_secs(10);
+/// Requests before those that are measured: connections come up, and the program learns its workers' times.
+const WARM_UP_REQUESTS: u64 = 1000;
+/// Least share of requests that has to be served.
+const LEAST_SERVED: f64 = 0.9;
+
+/// What a row does.
+#[derive(Debug)]
+pub struct Plan<'a> {
+    /// The built program.
+    pub program: &'a Path,
+    /// What the row measures.
+    pub subject: Subject,
+    /// Requests that are measured.
+    pub requests: u64,
+    /// Connections that they come on.
+    pub connections: u64,
+    /// One-entry changes.
+    pub changes: usize,
+    /// The program's limit on memory, in MB.
+    pub memory_mb: usize,
+}
+
+impl Plan<'_> {
+    fn workers(&self) -> usize {
+        match self.subject.axis {
+            Axis::Workers => self.subject.size,
+            Axis::Tenants => TENANT_ROW_WORKERS,
+        }
+    }
+
+    fn metered_tenants(&self) -> Option<u64> {
+        match self.subject.axis {
+            Axis::Workers => None,
+            Axis::Tenants => Some(self.subject.size as u64),
+        }
+    }
+
+    fn load(&self, requests: u64) -> Load {
+        let (connections, gateways) = (self.connections, self.subject.gateways);
+        Load { requests, connections, metered_tenants: self.metered_tenants(), gateways }
+    }
+}
+
+/// The program and what stands round it.
+struct Bench<'a> {
+    plan: &'a Plan<'a>,
+    report: &'a mut Report,
+    entries: Vec<Entry>,
+    discovery: StandInDiscovery,
+    counter: Option<StandInCounter>,
+    child: ChildProgram,
+}
+
+/// Measures one row into the report.
+///
+/// # Errors
+/// What could not be done; what was measured before that is in the report.
+pub fn measure(plan: &Plan<'_>, report: &mut Report) -> Result<(), Error> {
+    let workers = StandInWorkers::start()?;
+    let entry = |number| Entry::new(number, workers.address(number), State::Serving);
+    let entries: Vec<Entry> = (0..plan.workers()).map(entry).collect();
+    let counter = plan.metered_tenants().map(|_| StandInCounter::start()).transpose()?;
+    let known = &entries[..entries.len().min(KNOWN_WORKERS)];
+    let discovery = StandInDiscovery::start(known.to_vec())?;
+    let configuration = Configuration {
+        discovery: discovery.address,
+        counter: counter.as_ref().map(|counter| counter.address),
+        known: serde_json::json!(List { version: 0, full: true, servers: known }),
+        gateways: plan.subject.gateways,
+        memory_mb: plan.memory_mb,
+    };
+    let child = ChildProgram::start(plan.program, &configuration)?;
+    let mut bench = Bench { plan, report, entries, discovery, counter, child };
+    bench.wait_for_watch()?;
+    match plan.subject.axis {
+        Axis::Workers => bench.measure_workers(),
+        Axis::Tenants => bench.measure_tenants(),
+    }
+}
+
+impl Bench<'_> {
+    fn measure_workers(&mut self) -> Result<(), Error> {
+        self.measure_list(
+            Form::Compact,
+            [Metric::CompactListElapsedMillis, Metric::CompactListProcessorMillis],
+        )?;
+        self.measure_requests()?;
+        self.measure_changes()?;
+        let peak = self.child.memory()?.peak;
+        self.record(Metric::PeakResidentKibibytes, peak as f64 / 1024.0);
+        self.check_memory()?;
+        self.measure_list(
+            Form::Indented,
+            [Metric::IndentedListElapsedMillis, Metric::IndentedListProcessorMillis],
+        )?;
+        let peak = self.child.memory()?.peak;
+        self.record(Metric::PeakIndentedKibibytes, peak as f64 / 1024.0);
+        self.check_memory()
+    }
+
+    fn measure_tenants(&mut self) -> Result<(), Error> {
+        self.take_list(Form::Compact)?;
+        // Each tenant comes once, so that all are known when the measurement begins.
+        self.plan.load(self.plan.subject.size as u64).run(self.child.address)?;
+        self.measure_requests()?;
+        let peak = self.child.memory()?.peak;
+        self.record(Metric::PeakResidentKibibytes, peak as f64 / 1024.0);
+        self.check_memory()
+    }
+
+    fn record(&mut self, metric: Metric, value: f64) {
+        self.report.record(self.plan.subject, metric, value);
+    }
+
+    fn check_memory(&self) -> Result<(), Error> {
+        let limit = (self.plan.memory_mb as u64) << 20;
+        let peak = self.child.memory()?.peak;
+        if peak > limit { Err(Error::OverMemory { peak, limit }) } else { Ok(()) }
+    }
+
+    /// Takes the whole list in, and records the elapsed and the processor time.
+    fn measure_list(&mut self, form: Form, [elapsed, processor]: [Metric; 2]) -> Result<(), Error> {
+        let before = self.child.processor_time()?;
+        let taken = self.take_list(form)?;
+        let spent = self.child.processor_time()? - before;
+        self.record(elapsed, taken.as_secs_f64() * 1e3);
+        self.record(processor, spent.as_secs_f64() * 1e3);
+        Ok(())
+    }
+
+    fn take_list(&mut self, form: Form) -> Result<Duration, Error> {
+        let version = self.discovery.replace(self.entries.clone(), form);
+        self.wait_until_taken(version)
+    }
+
+    fn measure_requests(&mut self) -> Result<(), Error> {
+        self.plan.load(WARM_UP_REQUESTS).run(self.child.address)?;
+        let calls_before = self.counter_calls();
+        let before = self.child.processor_time()?;
+        let outcome = self.plan.load(self.plan.requests).run(self.child.address)?;
+        let spent = self.child.processor_time()? - before;
+        let share = outcome.served as f64 / outcome.sent as f64;
+        self.record(Metric::ServedShare, share);
+        if share < LEAST_SERVED {
+            return Err(Error::FewServed { served: outcome.served, sent: outcome.sent });
+        }
+        self.record(Metric::RequestProcessorMicros, spent.as_secs_f64() * 1e6 / outcome.sent as f64);
+        if let (Some(before), Some(after)) = (calls_before, self.counter_calls()) {
+            self.record(Metric::CounterCallsPerRequest, (after - before) as f64 / outcome.sent as f64);
+        }
+        let resident = self.child.memory()?.resident;
+        self.record(Metric::ResidentKibibytes, resident as f64 / 1024.0);
+        Ok(())
+    }
+
+    fn counter_calls(&self) -> Option<u64> {
+        self.counter.as_ref().map(StandInCounter::calls)
+    }
+
+    /// Drains workers all over the list and takes each back, one entry at a time.
+    fn measure_changes(&mut self) -> Result<(), Error> {
+        let (changes, workers) = (self.plan.changes, self.entries.len());
+        let mut elapsed = Vec::with_capacity(changes);
+        let before = self.child.processor_time()?;
+        for change in 0..changes {
+            let number = change / 2 * workers / changes.div_ceil(2);
+            let state = if change % 2 == 0 { State::Draining } else { State::Serving };
+            let version = self.discovery.change(number, state);
+            elapsed.push(self.wait_until_taken(version)?.as_secs_f64() * 1e6);
+        }
+        let spent = self.child.processor_time()? - before;
+        elapsed.sort_by(f64::total_cmp);
+        self.record(Metric::ChangeElapsedMicros, elapsed[changes / 2]);
+        self.record(Metric::ChangeProcessorMicros, spent.as_secs_f64() * 1e6 / changes as f64);
+        Ok(())
+    }
+
+    /// Waits until the program watches from any version.
+    fn wait_for_watch(&mut self) -> Result<(), Error> {
+        while !matches!(self.next_seen("a watch")?, Seen::Call { from: Some(_), .. }) {}
+        Ok(())
+    }
+
+    /// Waits until the answer that leads to `version` has been written and the next watch has come; the time
+    /// between the two.
+    fn wait_until_taken(&mut self, version: u64) -> Result<Duration, Error> {
+        let mut written = None;
+        loop {
+            match (self.next_seen("a watch")?, written) {
+                (Seen::Answer { version: answered, at }, _) if answered >= version => written = Some(at),
+                (Seen::Call { from, at }, Some(begun)) => {
+                    if from.is_none_or(|from| from < version) {
+                        return Err(Error::ListNotTaken(self.child.last_line()));
+                    }
+                    return Ok(at.duration_since(begun));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn next_seen(&self, event: &'static str) -> Result<Seen, Error> {
+        self.discovery.seen.recv_timeout(EVENT_LIMIT).map_err(|_| Error::Late(event, EVENT_LIMIT))
+    }
+}
--- /dev/null
+++ b/lab/src/process/report.rs
@@ -0,0 +1,259 @@
+//! Collects measured values over rounds and reports their medians as a table and as JSON lines.
+
+use super::Error;
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt::Write as _, fs, path::Path};
+
+/// Ratios are given against the row of this size.
+pub const BASE_SIZE: usize = 100;
+
+/// What grows from row to row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Axis {
+    /// Listed workers.
+    Workers,
+    /// Tenants with a quota.
+    Tenants,
+}
+
+impl Axis {
+    fn title(self) -> &'static str {
+        match self {
+            Self::Workers => "workers",
+            Self::Tenants => "tenants",
+        }
+    }
+}
+
+/// What a row measures.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct Subject {
+    /// What grows.
+    pub axis: Axis,
+    /// Gateways in the settings.
+    pub gateways: u32,
+    /// How many workers or tenants there are.
+    pub size: usize,
+}
+
+/// A measured quantity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Metric {
+    /// Processor time a request, in microseconds.
+    RequestProcessorMicros,
+    /// Share of the requests that were served.
+    ServedShare,
+    /// Calls to the counter for each request.
+    CounterCallsPerRequest,
+    /// Processor time of a change of one entry, in microseconds.
+    ChangeProcessorMicros,
+    /// Time from the write of such a change until the next watch comes, in microseconds.
+    ChangeElapsedMicros,
+    /// Processor time of a timer, in microseconds.
+    TimerProcessorMicros,
+    /// Processor time of a sweep over the tenants, in microseconds.
+    SweepProcessorMicros,
+    /// Processor time to take in the whole list, compact, in milliseconds.
+    CompactListProcessorMillis,
+    /// Time from the write of the whole list, compact, until the next watch, in milliseconds.
+    CompactListElapsedMillis,
+    /// The same with the list indented: processor time, in milliseconds.
+    IndentedListProcessorMillis,
+    /// The same with the list indented: elapsed, in milliseconds.
+    IndentedListElapsedMillis,
+    /// Resident memory after the requests, in KiB.
+    ResidentKibibytes,
+    /// Peak of the resident memory after requests and changes, before any indented list, in KiB.
+    PeakResidentKibibytes,
+    /// Peak of the resident memory after the indented list, in KiB.
+    PeakIndentedKibibytes,
+    /// Bytes of state for a listed worker that the gateway sends nothing.
+    WorkerOutsideBytes,
+    /// Bytes of state for a worker that the gateway sends requests, before it has.
+    WorkerInsideBytes,
+    /// Bytes of state for such a worker once it has answered.
+    WorkerAnsweredBytes,
+    /// Bytes of state for a tenant.
+    TenantBytes,
+    /// Bytes of state for an open request, its timer included.
+    OpenRequestBytes,
+}
+
+impl Metric {
+    fn title(self) -> &'static str {
+        match self {
+            Self::RequestProcessorMicros => "processor time a request [us]",
+            Self::ServedShare => "share of requests served",
+            Self::CounterCallsPerRequest => "counter calls a request",
+            Self::ChangeProcessorMicros => "processor time a one-entry change [us]",
+            Self::ChangeElapsedMicros => "one-entry change, write to next watch [us]",
+            Self::TimerProcessorMicros => "processor time a timer [us]",
+            Self::SweepProcessorMicros => "processor time a sweep over the tenants [us]",
+            Self::CompactListProcessorMillis => "processor time of a whole compact list [ms]",
+            Self::CompactListElapsedMillis => "whole compact list, write to next watch [ms]",
+            Self::IndentedListProcessorMillis => "processor time of a whole indented list [ms]",
+            Self::IndentedListElapsedMillis => "whole indented list, write to next watch [ms]",
+            Self::ResidentKibibytes => "resident memory after the requests [KiB]",
+            Self::PeakResidentKibibytes => "peak resident memory after requests and changes [KiB]",
+            Self::PeakIndentedKibibytes => "peak resident memory after the indented list [KiB]",
+            Self::WorkerOutsideBytes => "state a worker outside the subset [bytes]",
+            Self::WorkerInsideBytes => "state a worker inside the subset [bytes]",
+            Self::WorkerAnsweredBytes => "state a worker inside the subset that has answered [bytes]",
+            Self::TenantBytes => "state a tenant [bytes]",
+            Self::OpenRequestBytes => "state an open request [bytes]",
+        }
+    }
+}
+
+/// The values of one quantity over the rounds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Summary {
+    /// The middle value.
+    pub median: f64,
+    /// The lowest.
+    pub lowest: f64,
+    /// The highest.
+    pub highest: f64,
+    /// How many values there are.
+    pub rounds: usize,
+    /// The median over that of the row of [`BASE_SIZE`] in the same run.
+    pub ratio: Option<f64>,
+}
+
+/// Measured values, by quantity and row, and the rows that failed.
+#[derive(Debug, Default)]
+pub struct Report {
+    values: BTreeMap<(Axis, Metric), BTreeMap<Subject, Vec<f64>>>,
+    failures: BTreeMap<Subject, Vec<String>>,
+}
+
+/// One line of the JSON file.
+#[derive(Debug, Serialize)]
+#[serde(untagged)]
+enum Line<'a> {
+    Measured {
+        part: &'a str,
+        #[serde(flatten)]
+        subject: Subject,
+        metric: Metric,
+        #[serde(flatten)]
+        summary: Summary,
+    },
+    Failed {
+        part: &'a str,
+        #[serde(flatten)]
+        subject: Subject,
+        failed: &'a str,
+    },
+}
+
+impl Report {
+    /// Adds a value.
+    pub fn record(&mut self, subject: Subject, metric: Metric, value: f64) {
+        self.values.entry((subject.axis, metric)).or_default().entry(subject).or_default().push(value);
+    }
+
+    /// Adds a failure of a row.
+    pub fn fail(&mut self, subject: Subject, error: &Error) {
+        self.failures.entry(subject).or_default().push(error.to_string());
+    }
+
+    /// The summary of one quantity of one row; `None` where it was not measured.
+    pub fn summary(&self, subject: Subject, metric: Metric) -> Option<Summary> {
+        let values = self.values.get(&(subject.axis, metric))?.get(&subject)?;
+        let mut summary = summarize(values)?;
+        let base = Subject { size: BASE_SIZE, ..subject };
+        let base = self.values.get(&(subject.axis, metric))?.get(&base).and_then(|values| summarize(values));
+        summary.ratio = base.filter(|base| base.median != 0.0).map(|base| summary.median / base.median);
+        Some(summary)
+    }
+
+    /// The rows of which a quantity was measured.
+    pub fn subjects(&self, axis: Axis, metric: Metric) -> impl Iterator<Item = Subject> + '_ {
+        self.values.get(&(axis, metric)).into_iter().flat_map(|rows| rows.keys().copied())
+    }
+
+    /// Prints the table, and writes the JSON lines where a file is named.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn publish(&self, part: &str, json: Option<&Path>) -> Result<(), Error> {
+        print!("{}", self.table());
+        let Some(path) = json else { return Ok(()) };
+        fs::write(path, self.json_lines(part)).map_err(|error| Error::System("writing the JSON lines", error))
+    }
+
+    /// The table: a block for each quantity, a line for each row.
+    pub fn table(&self) -> String {
+        let mut text = String::new();
+        for (axis, metric) in self.values.keys() {
+            let _ = writeln!(text, "\n{}", metric.title());
+            let _ = writeln!(
+                text,
+                "{:>10} {:>9} {:>12} {:>12} {:>12} {:>7} {:>6}",
+                axis.title(),
+                "gateways",
+                "median",
+                "lowest",
+                "highest",
+                "ratio",
+                "rounds"
+            );
+            for subject in self.subjects(*axis, *metric) {
+                let Some(summary) = self.summary(subject, *metric) else { continue };
+                let ratio = summary.ratio.map_or("-".to_owned(), |ratio| format!("{ratio:.2}"));
+                let _ = writeln!(
+                    text,
+                    "{:>10} {:>9} {:>12.2} {:>12.2} {:>12.2} {ratio:>7} {:>6}",
+                    subject.size,
+                    subject.gateways,
+                    summary.median,
+                    summary.lowest,
+                    summary.highest,
+                    summary.rounds
+                );
+            }
+        }
+        self.write_failures(&mut text);
+        text
+    }
+
+    fn write_failures(&self, text: &mut String) {
+        for (subject, reasons) in &self.failures {
+            let (axis, size, gateways) = (subject.axis.title(), subject.size, subject.gateways);
+            for reason in reasons {
+                let _ = writeln!(text, "\nFAILED: {size} {axis}, {gateways} gateways: {reason}");
+            }
+        }
+    }
+
+    /// The report as JSON lines: one for each quantity of each row, and one for each failure.
+    pub fn json_lines(&self, part: &str) -> String {
+        let mut lines = Vec::new();
+        for (axis, metric) in self.values.keys() {
+            for subject in self.subjects(*axis, *metric) {
+                if let Some(summary) = self.summary(subject, *metric) {
+                    lines.push(Line::Measured { part, subject, metric: *metric, summary });
+                }
+            }
+        }
+        for (subject, reasons) in &self.failures {
+            lines.extend(reasons.iter().map(|failed| Line::Failed { part, subject: *subject, failed }));
+        }
+        let write =
+            |line| serde_json::to_string(line).expect("a line has only named fields and finite numbers");
+        lines.iter().map(write).fold(String::new(), |text, line| text + &line + "\n")
+    }
+}
+
+fn summarize(values: &[f64]) -> Option<Summary> {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let (lowest, highest) = (*sorted.first()?, *sorted.last()?);
+    let middle = sorted.len() / 2;
+    let median =
+        if sorted.len() % 2 == 1 { sorted[middle] } else { (sorted[middle - 1] + sorted[middle]) / 2.0 };
+    Some(Summary { median, lowest, highest, rounds: sorted.len(), ratio: None })
+}
--- /dev/null
+++ b/lab/tests/process_command.rs
@@ -0,0 +1,80 @@
+//! The command itself: a small run, and arguments that cannot be used.
+
+use serde_json::Value;
+use std::process::{Command, Output};
+
+fn process(arguments: &str) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oliverack-lab"));
+    command.arg("process").args(arguments.split_whitespace()).output().expect("the lab starts")
+}
+
+fn assert_rejected(arguments: &str, reason: &str) {
+    let output = process(arguments);
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success() && text.contains(reason), "{arguments}: {text}");
+}
+
+#[test]
+fn a_small_run_of_the_policy_measures_times_and_state() {
+    let json = tempfile::NamedTempFile::new().expect("a writable folder for temporary files");
+    let path = json.path().display();
+    let output = process(&format!(
+        "policy --workers 10,100 --tenants 20 --gateways 1,100 --rounds 2 --requests 40 --changes 4 --json {path}"
+    ));
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let text = std::fs::read_to_string(json.path()).expect("the report");
+    let lines: Vec<Value> = text.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    let of = |axis: &str, size: u64, gateways: u64, metric: &str| {
+        let same = |line: &&Value| {
+            line["axis"] == axis
+                && line["size"] == size
+                && line["gateways"] == gateways
+                && line["metric"] == metric
+        };
+        lines.iter().find(same).unwrap_or_else(|| panic!("{metric} of {size} {axis}: {text}"))
+    };
+    for gateways in [1, 100] {
+        let request = of("workers", 100, gateways, "request_processor_micros");
+        assert_eq!((&request["rounds"], &request["ratio"]), (&2.into(), &1.0.into()));
+        assert_eq!(of("workers", 10, gateways, "served_share")["median"], 1.0);
+        of("workers", 10, gateways, "change_processor_micros");
+        of("workers", 10, gateways, "timer_processor_micros");
+    }
+    let positive = |line: &Value| line["median"].as_f64().is_some_and(|bytes| bytes > 0.0);
+    assert!(positive(of("workers", 100, 100, "worker_outside_bytes")));
+    assert!(positive(of("workers", 100, 1, "worker_inside_bytes")));
+    assert!(positive(of("tenants", 20, 100, "tenant_bytes")));
+    assert!(positive(of("workers", 1000, 1, "open_request_bytes")));
+    of("tenants", 20, 100, "sweep_processor_micros");
+}
+
+#[test]
+fn a_program_that_ends_at_once_fails_its_rows_and_not_the_run() {
+    let output = process("program --program /bin/false --workers 10 --tenants 20 --rounds 1");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        text.contains("FAILED: 10 workers, 680 gateways: the program ended before it listened"),
+        "{text}"
+    );
+    assert!(text.contains("FAILED: 20 tenants"), "{text}");
+}
+
+#[test]
+fn arguments_that_cannot_be_used_are_rejected_with_a_reason() {
+    assert_rejected("policy --rounds 0", "rounds, requests and changes must be above 0");
+    assert_rejected("policy --workers 10,0", "counts of workers and tenants must be above 0");
+    assert_rejected("policy --gateways 0", "counts of gateways must be above 0");
+    assert_rejected("policy --check --workers 100", "needs 100 and 9200");
+    assert_rejected("policy --workers many", "invalid digit");
+    assert_rejected("program --program /nowhere/program", "there is no program at /nowhere/program");
+    assert_rejected("program --connections 0", "must be above 0");
+    assert_rejected("", "Usage");
+}
+
+#[test]
+fn the_help_tells_of_both_parts() {
+    let output = process("--help");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success() && text.contains("program") && text.contains("policy"), "{text}");
+}
--- /dev/null
+++ b/lab/tests/process_report.rs
@@ -0,0 +1,60 @@
+//! Readings of `/proc`, medians, ratios, and the two forms of the report.
+
+use oliverack_lab::process::{
+    Error, proc_reading,
+    report::{Axis, Metric, Report, Subject},
+};
+use serde_json::Value;
+use std::time::Duration;
+
+const METRIC: Metric = Metric::RequestProcessorMicros;
+
+fn subject(size: usize) -> Subject {
+    Subject { axis: Axis::Workers, gateways: 1, size }
+}
+
+fn report() -> Report {
+    let mut report = Report::default();
+    [30.0, 10.0, 20.0].into_iter().for_each(|value| report.record(subject(100), METRIC, value));
+    [50.0, 30.0].into_iter().for_each(|value| report.record(subject(9200), METRIC, value));
+    report.fail(subject(9200), &Error::Ended("out of luck".to_owned()));
+    report
+}
+
+#[test]
+fn readings_of_proc_are_understood() {
+    let spent = proc_reading::parse_schedstat("364058052 17 15\n").expect("a reading");
+    assert_eq!(spent, Duration::from_nanos(364_058_052));
+    let status = "Name:\tyardspur\nVmPeak:\t   90 kB\nVmHWM:\t    21568 kB\nVmRSS:\t    16052 kB\n";
+    let memory = proc_reading::parse_status(status).expect("a reading");
+    assert_eq!((memory.resident, memory.peak), (16_052 * 1024, 21_568 * 1024));
+    assert!(proc_reading::parse_schedstat("").is_err());
+    assert!(proc_reading::parse_status("VmRSS:\t 1 kB\n").is_err());
+    let own = proc_reading::memory(std::process::id()).expect("this process");
+    assert!(own.resident > 0 && own.peak >= own.resident);
+    proc_reading::processor_time(std::process::id()).expect("this process");
+}
+
+#[test]
+fn the_middle_value_is_told_with_the_spread_and_the_ratio_to_the_base() {
+    let report = report();
+    let base = report.summary(subject(100), METRIC).expect("measured");
+    assert_eq!((base.median, base.lowest, base.highest, base.rounds), (20.0, 10.0, 30.0, 3));
+    let large = report.summary(subject(9200), METRIC).expect("measured");
+    assert_eq!((large.median, large.ratio), (40.0, Some(2.0)));
+    assert_eq!(report.summary(subject(10), METRIC), None);
+}
+
+#[test]
+fn both_forms_tell_values_and_failures() {
+    let table = report().table();
+    assert!(table.contains("processor time a request [us]"), "{table}");
+    assert!(table.contains("FAILED: 9200 workers, 1 gateways: the program ended"), "{table}");
+    let lines = report().json_lines("policy");
+    let lines: Vec<Value> = lines.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    assert_eq!(lines.len(), 3);
+    assert_eq!((&lines[1]["size"], &lines[1]["ratio"]), (&9200.into(), &2.0.into()));
+    assert_eq!((&lines[1]["part"], &lines[1]["axis"]), (&"policy".into(), &"workers".into()));
+    assert_eq!(lines[1]["metric"], "request_processor_micros");
+    assert!(lines[2]["failed"].as_str().is_some_and(|reason| reason.ends_with("out of luck")));
+}
--- /dev/null
+++ b/lab/tests/process_stand_ins.rs
@@ -0,0 +1,119 @@
+//! The stand-ins speak the protocol.
+
+use oliverack_lab::process::{
+    http::{Message, read_message},
+    stand_in_counter::StandInCounter,
+    stand_in_discovery::{Entry, Form, Seen, StandInDiscovery, State},
+    stand_in_workers::StandInWorkers,
+};
+use serde_json::Value;
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Client(BufReader<TcpStream>);
+
+impl Client {
+    fn connect(address: SocketAddr) -> Self {
+        let socket = TcpStream::connect(address).expect("it listens");
+        socket.set_read_timeout(Some(LIMIT)).expect("a socket");
+        Self(BufReader::new(socket))
+    }
+
+    fn send(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("it reads");
+    }
+
+    fn get(&mut self, target: &str) -> Message {
+        self.send(&format!("GET {target} HTTP/1.1\r\nHost: backend.local\r\n\r\n"));
+        read_message(&mut self.0).expect("an answer").expect("a whole answer")
+    }
+
+    fn list(&mut self, target: &str) -> Value {
+        let answer = self.get(target);
+        assert_eq!(answer.status(), Some(200));
+        serde_json::from_slice(&answer.body).expect("JSON")
+    }
+
+    fn line(&mut self, call: &str) -> String {
+        self.send(&format!("{call}\r\n"));
+        let mut line = String::new();
+        self.0.read_line(&mut line).expect("an answer");
+        line
+    }
+}
+
+fn entries(count: usize) -> Vec<Entry> {
+    let address = "127.1.0.1:9000".parse().expect("an address");
+    (0..count).map(|number| Entry::new(number, address, State::Serving)).collect()
+}
+
+#[test]
+fn workers_answer_on_kept_connections_to_addresses_of_their_own() {
+    let workers = StandInWorkers::start().expect("a free port");
+    let addresses = [0, 1, 249, 250, 9199, 62_500].map(|number| workers.address(number));
+    for (place, address) in addresses.into_iter().enumerate() {
+        assert!(address.ip().is_loopback());
+        assert!(!addresses[..place].contains(&address), "{address} twice");
+        let mut client = Client::connect(address);
+        for _ in 0..3 {
+            let answer = client.get("/lookup");
+            assert_eq!((answer.status(), answer.body.as_slice()), (Some(200), &b"ok"[..]));
+        }
+    }
+}
+
+#[test]
+fn the_counter_adds_and_tells_the_total() {
+    let counter = StandInCounter::start().expect("a free port");
+    let (mut one, mut other) = (Client::connect(counter.address), Client::connect(counter.address));
+    assert_eq!(one.line("ping"), "pong\r\n");
+    assert_eq!(one.line("bump a 2.5 4000"), "ok 2.5\r\n");
+    assert_eq!(other.line("bump a -1 4000"), "ok 1.5\r\n");
+    assert_eq!(other.line("bump b 1 4000"), "ok 1\r\n");
+    assert_eq!(other.line("bump b inf 4000"), "error\r\n");
+    assert_eq!(other.line("bump b"), "error\r\n");
+    assert_eq!(counter.calls(), 5);
+}
+
+#[test]
+fn discovery_tells_the_whole_list_and_then_what_changes() {
+    let discovery = StandInDiscovery::start(entries(3)).expect("a free port");
+    let mut client = Client::connect(discovery.address);
+    let list = client.list("/discovery/hosts");
+    assert_eq!((&list["version"], &list["full"]), (&1.into(), &true.into()));
+    let ids: Vec<&Value> = list["servers"].as_array().expect("entries").iter().map(|e| &e["id"]).collect();
+    assert_eq!(ids, ["s-00000000", "s-00000001", "s-00000002"]);
+    assert_eq!(discovery.change(1, State::Draining), 2);
+    let changes = client.list("/discovery/hosts?from=1&hold_ms=20000");
+    assert_eq!((&changes["version"], &changes["full"]), (&2.into(), &false.into()));
+    let changed = changes["servers"].as_array().expect("entries");
+    assert_eq!(changed.len(), 1);
+    assert_eq!((&changed[0]["id"], &changed[0]["state"]), (&"s-00000001".into(), &"DRAINING".into()));
+    let unchanged = client.list("/discovery/hosts?from=2&hold_ms=1");
+    assert_eq!(unchanged["servers"], Value::Array(Vec::new()));
+    let whole = Client::connect(discovery.address).list("/discovery/hosts");
+    assert_eq!(whole["servers"][1]["state"], "DRAINING");
+}
+
+#[test]
+fn a_watch_that_waits_is_told_a_new_whole_list_in_the_form_asked_for() {
+    let discovery = StandInDiscovery::start(entries(1)).expect("a free port");
+    let mut client = Client::connect(discovery.address);
+    client.list("/discovery/hosts");
+    client.send("GET /discovery/hosts?from=1&hold_ms=60000 HTTP/1.1\r\n\r\n");
+    let watches = |seen| matches!(seen, Seen::Call { from: Some(1), .. });
+    while !watches(discovery.seen.recv_timeout(LIMIT).expect("the watch")) {}
+    assert_eq!(discovery.replace(entries(2), Form::Indented), 2);
+    let answer = read_message(&mut client.0).expect("an answer").expect("a whole answer");
+    let text = String::from_utf8(answer.body).expect("UTF-8");
+    assert!(text.starts_with("{\r\n          \"version\": 2,\r\n"), "{text}");
+    let list: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((&list["full"], list["servers"].as_array().map(Vec::len)), (&true.into(), Some(2)));
+    let told = |seen| matches!(seen, Seen::Answer { version: 2, .. });
+    while !told(discovery.seen.recv_timeout(LIMIT).expect("the answer")) {}
+}
