Bound the sizes of the process command and count the rounds of a failure

A count of workers beyond what the loopback addresses of the stand-ins can tell apart was taken, and a row that failed in each round was listed once a round. Sizes are now from 1 to 1,000,000, and a reason is listed once, with the rounds in which it was met.

--- a/lab/src/process/policy.rs
+++ b/lab/src/process/policy.rs
@@ -4,7 +4,7 @@
     Error,
     policy_driver::{Driver, Scenario},
     policy_memory,
-    report::{Axis, Metric, Report, Subject},
+    report::{Axis, Metric, Report, Subject, check_sizes},
 };
 use cpu_time::ThreadTime;
 use std::{
@@ -76,9 +76,7 @@
         if self.rounds == 0 || self.requests == 0 || self.changes == 0 {
             return Err(Error::Argument("rounds, requests and changes must be above 0"));
         }
-        if self.workers.iter().chain(&self.tenants).any(|size| *size == 0) {
-            return Err(Error::Argument("counts of workers and tenants must be above 0"));
-        }
+        check_sizes(self.workers.iter().chain(&self.tenants))?;
         if self.gateways.is_empty() || self.gateways.contains(&0) {
             return Err(Error::Argument("counts of gateways must be above 0"));
         }
--- a/lab/src/process/program.rs
+++ b/lab/src/process/program.rs
@@ -2,8 +2,8 @@
 
 use super::{
     Error,
-    program_row::{self, Plan},
-    report::{Axis, Report, Subject},
+    program_row::{self, Row},
+    report::{Axis, Report, Subject, check_sizes},
 };
 use std::{
     path::{Path, PathBuf},
@@ -63,9 +63,7 @@
                 "gateways, rounds, requests, connections and changes must be above 0",
             ));
         }
-        if self.workers.iter().chain(&self.tenants).any(|size| *size == 0) {
-            return Err(Error::Argument("counts of workers and tenants must be above 0"));
-        }
+        check_sizes(self.workers.iter().chain(&self.tenants))?;
         Ok(())
     }
 
@@ -106,7 +104,7 @@
                 Axis::Workers => arguments.memory_mb,
                 Axis::Tenants => arguments.tenant_memory_mb,
             };
-            let plan = Plan {
+            let row = Row {
                 program: &program,
                 subject,
                 requests: arguments.requests,
@@ -114,7 +112,7 @@
                 changes: arguments.changes,
                 memory_mb,
             };
-            if let Err(error) = program_row::measure(&plan, &mut report) {
+            if let Err(error) = program_row::measure(&row, &mut report) {
                 report.fail(subject, &error);
             }
         }
--- a/lab/src/process/program_row.rs
+++ b/lab/src/process/program_row.rs
@@ -24,7 +24,7 @@
 
 /// What a row does.
 #[derive(Debug)]
-pub struct Plan<'a> {
+pub struct Row<'a> {
     /// The built program.
     pub program: &'a Path,
     /// What the row measures.
@@ -39,7 +39,7 @@
     pub memory_mb: usize,
 }
 
-impl Plan<'_> {
+impl Row<'_> {
     fn workers(&self) -> usize {
         match self.subject.axis {
             Axis::Workers => self.subject.size,
@@ -62,7 +62,7 @@
 
 /// The program and what stands round it.
 struct Bench<'a> {
-    plan: &'a Plan<'a>,
+    row: &'a Row<'a>,
     report: &'a mut Report,
     entries: Vec<Entry>,
     discovery: StandInDiscovery,
@@ -74,24 +74,24 @@
 ///
 /// # Errors
 /// What could not be done; what was measured before that is in the report.
-pub fn measure(plan: &Plan<'_>, report: &mut Report) -> Result<(), Error> {
+pub fn measure(row: &Row<'_>, report: &mut Report) -> Result<(), Error> {
     let workers = StandInWorkers::start()?;
     let entry = |number| Entry::new(number, workers.address(number), State::Serving);
-    let entries: Vec<Entry> = (0..plan.workers()).map(entry).collect();
-    let counter = plan.metered_tenants().map(|_| StandInCounter::start()).transpose()?;
+    let entries: Vec<Entry> = (0..row.workers()).map(entry).collect();
+    let counter = row.metered_tenants().map(|_| StandInCounter::start()).transpose()?;
     let known = &entries[..entries.len().min(KNOWN_WORKERS)];
     let discovery = StandInDiscovery::start(known.to_vec())?;
     let configuration = Configuration {
         discovery: discovery.address,
         counter: counter.as_ref().map(|counter| counter.address),
         known: serde_json::json!(List { version: 0, full: true, servers: known }),
-        gateways: plan.subject.gateways,
-        memory_mb: plan.memory_mb,
+        gateways: row.subject.gateways,
+        memory_mb: row.memory_mb,
     };
-    let child = ChildProgram::start(plan.program, &configuration)?;
-    let mut bench = Bench { plan, report, entries, discovery, counter, child };
+    let child = ChildProgram::start(row.program, &configuration)?;
+    let mut bench = Bench { row, report, entries, discovery, counter, child };
     bench.wait_for_watch()?;
-    match plan.subject.axis {
+    match row.subject.axis {
         Axis::Workers => bench.measure_workers(),
         Axis::Tenants => bench.measure_tenants(),
     }
@@ -120,7 +120,7 @@
     fn measure_tenants(&mut self) -> Result<(), Error> {
         self.take_list(Form::Compact)?;
         // Each tenant comes once, so that all are known when the measurement begins.
-        self.plan.load(self.plan.subject.size as u64).run(self.child.address)?;
+        self.row.load(self.row.subject.size as u64).run(self.child.address)?;
         self.measure_requests()?;
         let peak = self.child.memory()?.peak;
         self.record(Metric::PeakResidentKibibytes, peak as f64 / 1024.0);
@@ -128,11 +128,11 @@
     }
 
     fn record(&mut self, metric: Metric, value: f64) {
-        self.report.record(self.plan.subject, metric, value);
+        self.report.record(self.row.subject, metric, value);
     }
 
     fn check_memory(&self) -> Result<(), Error> {
-        let limit = (self.plan.memory_mb as u64) << 20;
+        let limit = (self.row.memory_mb as u64) << 20;
         let peak = self.child.memory()?.peak;
         if peak > limit { Err(Error::OverMemory { peak, limit }) } else { Ok(()) }
     }
@@ -153,10 +153,10 @@
     }
 
     fn measure_requests(&mut self) -> Result<(), Error> {
-        self.plan.load(WARM_UP_REQUESTS).run(self.child.address)?;
+        self.row.load(WARM_UP_REQUESTS).run(self.child.address)?;
         let calls_before = self.counter_calls();
         let before = self.child.processor_time()?;
-        let outcome = self.plan.load(self.plan.requests).run(self.child.address)?;
+        let outcome = self.row.load(self.row.requests).run(self.child.address)?;
         let spent = self.child.processor_time()? - before;
         let share = outcome.served as f64 / outcome.sent as f64;
         self.record(Metric::ServedShare, share);
@@ -178,7 +178,7 @@
 
     /// Drains workers all over the list and takes each back, one entry at a time.
     fn measure_changes(&mut self) -> Result<(), Error> {
-        let (changes, workers) = (self.plan.changes, self.entries.len());
+        let (changes, workers) = (self.row.changes, self.entries.len());
         let mut elapsed = Vec::with_capacity(changes);
         let before = self.child.processor_time()?;
         for change in 0..changes {
--- a/lab/src/process/report.rs
+++ b/lab/src/process/report.rs
@@ -7,6 +7,21 @@
 /// Ratios are given against the row of this size.
 pub const BASE_SIZE: usize = 100;
 
+/// The largest size of a row.
+const MOST_SIZE: usize = 1_000_000;
+
+/// Whether the counts of workers and tenants can be measured.
+///
+/// # Errors
+/// One is 0 or too large.
+pub fn check_sizes<'a>(mut sizes: impl Iterator<Item = &'a usize>) -> Result<(), Error> {
+    if sizes.all(|size| (1..=MOST_SIZE).contains(size)) {
+        Ok(())
+    } else {
+        Err(Error::Argument("counts of workers and tenants must be from 1 to 1000000"))
+    }
+}
+
 /// What grows from row to row.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -126,7 +141,8 @@
 #[derive(Debug, Default)]
 pub struct Report {
     values: BTreeMap<(Axis, Metric), BTreeMap<Subject, Vec<f64>>>,
-    failures: BTreeMap<Subject, Vec<String>>,
+    /// Reasons, and in how many rounds each was met.
+    failures: BTreeMap<Subject, BTreeMap<String, usize>>,
 }
 
 /// One line of the JSON file.
@@ -146,6 +162,7 @@
         #[serde(flatten)]
         subject: Subject,
         failed: &'a str,
+        rounds: usize,
     },
 }
 
@@ -157,7 +174,7 @@
 
     /// Adds a failure of a row.
     pub fn fail(&mut self, subject: Subject, error: &Error) {
-        self.failures.entry(subject).or_default().push(error.to_string());
+        *self.failures.entry(subject).or_default().entry(error.to_string()).or_default() += 1;
     }
 
     /// The summary of one quantity of one row; `None` where it was not measured.
@@ -223,8 +240,11 @@
     fn write_failures(&self, text: &mut String) {
         for (subject, reasons) in &self.failures {
             let (axis, size, gateways) = (subject.axis.title(), subject.size, subject.gateways);
-            for reason in reasons {
-                let _ = writeln!(text, "\nFAILED: {size} {axis}, {gateways} gateways: {reason}");
+            for (reason, rounds) in reasons {
+                let _ = writeln!(
+                    text,
+                    "\nFAILED: {size} {axis}, {gateways} gateways, in {rounds} rounds: {reason}"
+                );
             }
         }
     }
@@ -240,7 +260,9 @@
             }
         }
         for (subject, reasons) in &self.failures {
-            lines.extend(reasons.iter().map(|failed| Line::Failed { part, subject: *subject, failed }));
+            for (failed, rounds) in reasons {
+                lines.push(Line::Failed { part, subject: *subject, failed, rounds: *rounds });
+            }
         }
         let write =
             |line| serde_json::to_string(line).expect("a line has only named fields and finite numbers");
--- a/lab/tests/process_command.rs
+++ b/lab/tests/process_command.rs
@@ -54,7 +54,7 @@
     let text = String::from_utf8_lossy(&output.stdout);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     assert!(
-        text.contains("FAILED: 10 workers, 680 gateways: the program ended before it listened"),
+        text.contains("FAILED: 10 workers, 680 gateways, in 1 rounds: the program ended before it listened"),
         "{text}"
     );
     assert!(text.contains("FAILED: 20 tenants"), "{text}");
@@ -63,7 +63,8 @@
 #[test]
 fn arguments_that_cannot_be_used_are_rejected_with_a_reason() {
     assert_rejected("policy --rounds 0", "rounds, requests and changes must be above 0");
-    assert_rejected("policy --workers 10,0", "counts of workers and tenants must be above 0");
+    assert_rejected("policy --workers 10,0", "must be from 1 to 1000000");
+    assert_rejected("program --program /bin/false --tenants 1000001", "must be from 1 to 1000000");
     assert_rejected("policy --gateways 0", "counts of gateways must be above 0");
     assert_rejected("policy --check --workers 100", "needs 100 and 9200");
     assert_rejected("policy --workers many", "invalid digit");
--- a/lab/tests/process_report.rs
+++ b/lab/tests/process_report.rs
@@ -17,7 +17,7 @@
     let mut report = Report::default();
     [30.0, 10.0, 20.0].into_iter().for_each(|value| report.record(subject(100), METRIC, value));
     [50.0, 30.0].into_iter().for_each(|value| report.record(subject(9200), METRIC, value));
-    report.fail(subject(9200), &Error::Ended("out of luck".to_owned()));
+    (0..2).for_each(|_| report.fail(subject(9200), &Error::Ended("out of luck".to_owned())));
     report
 }
 
@@ -49,7 +49,7 @@
 fn both_forms_tell_values_and_failures() {
     let table = report().table();
     assert!(table.contains("processor time a request [us]"), "{table}");
-    assert!(table.contains("FAILED: 9200 workers, 1 gateways: the program ended"), "{table}");
+    assert!(table.contains("FAILED: 9200 workers, 1 gateways, in 2 rounds: the program ended"), "{table}");
     let lines = report().json_lines("policy");
     let lines: Vec<Value> = lines.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
     assert_eq!(lines.len(), 3);
