Make all tenants known before a row of tenants is measured

On a busy machine the 32,000 first requests took longer than the 26 s after which the program forgets an idle tenant: it held 10 MB at the end.

The program raises its rate of calls over seconds, so a row's calls depend on how long it takes. The metric says so; the rows of tenants are not comparable between runs of different speed.

--- a/lab/src/process/program_row.rs
+++ b/lab/src/process/program_row.rs
@@ -19,6 +19,8 @@
 const EVENT_LIMIT: Duration = Duration::from_secs(10);
 /// Requests before those that are measured: connections come up, and the program learns its workers' times.
 const WARM_UP_REQUESTS: u64 = 1000;
+/// Connections on which each tenant comes once: many, as the program forgets a tenant that is idle for 26 s.
+const TENANT_CONNECTIONS: u64 = 32;
 /// Least share of requests that has to be served.
 const LEAST_SERVED: f64 = 0.9;
 
@@ -120,7 +122,8 @@
     fn measure_tenants(&mut self) -> Result<(), Error> {
         self.take_list(Form::Compact)?;
         // Each tenant comes once, so that all are known when the measurement begins.
-        self.row.load(self.row.subject.size as u64).run(self.child.address)?;
+        let load = self.row.load(self.row.subject.size as u64);
+        Load { connections: TENANT_CONNECTIONS, ..load }.run(self.child.address)?;
         self.measure_requests()?;
         let peak = self.child.memory()?.peak;
         self.record(Metric::PeakResidentKibibytes, peak as f64 / 1024.0);
--- a/lab/src/process/report.rs
+++ b/lab/src/process/report.rs
@@ -60,7 +60,8 @@
     RequestProcessorMicros,
     /// Share of the requests that were served.
     ServedShare,
-    /// Calls to the counter for each request.
+    /// Calls to the counter for each request. The program raises its rate of calls over seconds from a low start, so
+    /// this depends on how long a row takes, and the processor time of a row of tenants depends on this.
     CounterCallsPerRequest,
     /// Processor time of a change of one entry, in microseconds.
     ChangeProcessorMicros,
