Fail a row of tenants in which the counter was never called

Such a row is now listed as failed with that reason; what was read stays in the table. Why the program does not call is not yet found.

--- a/lab/src/process/error.rs
+++ b/lab/src/process/error.rs
@@ -37,6 +37,8 @@
         /// Requests sent.
         sent: u64,
     },
+    /// No request led to a call of the counter, so a row of tenants says nothing of its cost.
+    CounterUnused,
     /// A checked run has crossed these bounds.
     Check(Vec<String>),
 }
@@ -56,6 +58,7 @@
                 write!(f, "peak memory of {} KiB is over the limit of {} KiB", peak / 1024, limit / 1024)
             }
             Self::FewServed { served, sent } => write!(f, "only {served} of {sent} requests were served"),
+            Self::CounterUnused => f.write_str("the counter was never called during the measured requests"),
             Self::Check(crossed) => write!(f, "bounds crossed: {}", crossed.join("; ")),
         }
     }
--- a/lab/src/process/program_row.rs
+++ b/lab/src/process/program_row.rs
@@ -172,7 +172,8 @@
         }
         let resident = self.child.memory()?.resident;
         self.record(Metric::ResidentKibibytes, resident as f64 / 1024.0);
-        Ok(())
+        let unused = calls_before.is_some() && calls_before == self.counter_calls();
+        if unused { Err(Error::CounterUnused) } else { Ok(()) }
     }
 
     fn counter_calls(&self) -> Option<u64> {
