--- a/src/logic.rs
+++ b/src/logic.rs
@@ -219,6 +219,7 @@
     further: f64,
 }
 
+/// A number from 0 to 1; the middle where there is no generator.
 fn draw(rng: &mut Option<fastrand::Rng>) -> f64 {
     rng.as_mut().map_or(0.5, fastrand::Rng::f64)
 }
