--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -131,7 +131,9 @@
 
 /// Fleets small and large, each with servers that do much or little.
 fn fleets(every: u32, load: f64, surge: f64) {
-    for (gateways, servers) in [(1, 9), (3, 9), (12, 12), (30, 9), (30, 40), (100, 60), (300, 200)] {
+    for (gateways, servers) in
+        [(1, 9), (3, 9), (12, 12), (30, 9), (30, 40), (100, 60), (300, 200), (680, 450)]
+    {
         for capacity in [2.0, 20.0] {
             let day = Day { gateways, servers, capacity, load, every, surge };
             let (worst, share) = worst(day);
