--- a/lab/src/fleet/configuration.rs
+++ b/lab/src/fleet/configuration.rs
@@ -35,6 +35,14 @@
     pub faults: Vec<Fault>,
 }
 
+/// A file that holds faults alone.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultFile {
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
+}
+
 /// Zones, regions and the delays between them.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -23,8 +23,9 @@
 pub mod wire_size;
 pub mod workers;
 
-use configuration::Configuration;
+use configuration::{Configuration, FaultFile};
 use report::Record;
+use serde::de::DeserializeOwned;
 use simulation::Simulation;
 use std::fmt;
 use std::fs;
@@ -71,6 +72,9 @@
     /// Seed of all random numbers.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
+    /// A TOML file with further [[faults]], to play the same fleet with one thing after another going wrong.
+    #[arg(long)]
+    pub faults: Option<PathBuf>,
     /// Write all results to this file, one JSON record a line.
     #[arg(long)]
     pub json: Option<PathBuf>,
@@ -114,11 +118,25 @@
 /// # Errors
 /// A text that is no TOML, an unknown or missing key, or a figure that no run can have.
 pub fn parse(text: &str) -> Result<Configuration, Error> {
-    let configuration = toml::from_str(text).map_err(|error| Error::Syntax(one_line(text, &error)))?;
+    let configuration = read_toml(text)?;
     validation::check(&configuration).map_err(Error::Invalid)?;
     Ok(configuration)
 }
 
+/// Adds the faults of a second file to a configuration.
+///
+/// # Errors
+/// As for [`parse`]; the configuration is of no further use then.
+pub fn add_faults(configuration: &mut Configuration, text: &str) -> Result<(), Error> {
+    let file: FaultFile = read_toml(text)?;
+    configuration.faults.extend(file.faults);
+    validation::check(configuration).map_err(Error::Invalid)
+}
+
+fn read_toml<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    toml::from_str(text).map_err(|error| Error::Syntax(one_line(text, &error)))
+}
+
 /// The reader's message with the line that it is about.
 fn one_line(text: &str, error: &toml::de::Error) -> String {
     let message = error.message().replace('\n', " ");
@@ -147,15 +165,21 @@
 /// # Errors
 /// A bad file, or results that cannot be written.
 pub fn run(arguments: &Arguments) -> Result<(), Error> {
-    let text =
-        fs::read_to_string(&arguments.file).map_err(|error| Error::Read(arguments.file.clone(), error))?;
-    let records = simulate(parse(&text)?, arguments.seed)?;
+    let mut configuration = parse(&read_text(&arguments.file)?)?;
+    if let Some(path) = &arguments.faults {
+        add_faults(&mut configuration, &read_text(path)?)?;
+    }
+    let records = simulate(configuration, arguments.seed)?;
     if let Some(path) = &arguments.json {
         write_json(path, &records).map_err(|error| Error::Write(path.clone(), error))?;
     }
     write!(io::stdout().lock(), "{}", table::Table(&records)).map_err(Error::Print)
 }
 
+fn read_text(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))
+}
+
 fn write_json(path: &Path, records: &[Record]) -> io::Result<()> {
     let mut file = io::BufWriter::new(fs::File::create(path)?);
     for record in records {
--- a/lab/tests/fleet_configuration.rs
+++ b/lab/tests/fleet_configuration.rs
@@ -1,6 +1,6 @@
 //! Files that no run can be made from end in one plain line.
 
-use oliverack_lab::fleet::parse;
+use oliverack_lab::fleet::{add_faults, parse};
 use std::path::Path;
 use std::process::Command;
 
@@ -24,6 +24,9 @@
     let mut seen = 0;
     for entry in std::fs::read_dir(folder).expect("the folder of examples") {
         let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            continue;
+        }
         let text = std::fs::read_to_string(&path).expect("a readable example");
         assert!(parse(&text).is_ok(), "{}: {}", path.display(), complaint(&text));
         seen += 1;
@@ -31,6 +34,33 @@
     assert!(seen >= 6, "{seen} examples");
 }
 
+#[test]
+fn all_faults_fit_the_tenth_of_the_target() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/faults");
+    let base = include_str!("../experiments/target-10.toml");
+    let mut seen = 0;
+    for entry in std::fs::read_dir(folder).expect("the folder of faults") {
+        let path = entry.expect("an entry").path();
+        let text = std::fs::read_to_string(&path).expect("a readable file");
+        let mut configuration = parse(base).expect("a usable example");
+        let before = configuration.faults.len();
+        add_faults(&mut configuration, &text).expect("usable faults");
+        assert!(configuration.faults.len() > before, "{} adds none", path.display());
+        seen += 1;
+    }
+    assert!(seen >= 6, "{seen} files of faults");
+}
+
+#[test]
+fn a_file_of_faults_holds_nothing_else_and_none_that_cannot_be() {
+    let mut configuration = parse(SMALL).expect("a usable example");
+    let fault = "[[faults]]\nkind = \"cut-counter\"\nat = 1.0\nuntil = 2.0\nzone = 99\n";
+    let message = add_faults(&mut configuration, fault).expect_err("no such zone").to_string();
+    assert!(message.contains("zone") && !message.contains('\n'), "{message}");
+    let message = add_faults(&mut configuration, "seconds = 3.0\nfaults = []\n").expect_err("a further key");
+    assert!(message.to_string().contains("seconds"), "{message}");
+}
+
 #[test]
 fn unknown_keys_are_errors() {
     assert!(complaint(&format!("colour = 1\n{SMALL}")).contains("colour"));
