Check the bounds of the built program, and measure tenants with few gateways

The bound on the ratio of processor time a request is not dropped: it moves to the program, the subject that it was measured on. In both commands a failed row and a missing value fail the check with their reason, and a checked run of the policy needs a count of gateways above 1, as it would assert nothing of the state otherwise.

Tenants: with 680 gateways in the settings one gateway starts with a fraction of a counter call a second, so the rows did not exercise the counter. They now run with `--tenant-gateways` (4) in the settings, after a warm-up that ends once calls a request have settled or 3 s are over. The tenants' turns go on from one batch of requests to the next, where each batch began at the first tenant. A row with less than 0.01 calls a request is listed as failed, which takes in the row without any call that was failed before.

Known limit: rows of tenants took 4 to 17 s, longer than meant, as requests waited some 10 ms each while the machine was busy; why is not settled.

--- a/lab/src/process/load.rs
+++ b/lab/src/process/load.rs
@@ -28,6 +28,8 @@
 pub struct Load {
     /// Requests in all.
     pub requests: u64,
+    /// Requests that went before: the tenants' turns go on after them.
+    pub before: u64,
     /// Connections that share them.
     pub connections: u64,
     /// Tenants that they come from in turn; `None`: one tenant, without a quota.
@@ -88,7 +90,7 @@
     fn request(&self, number: u64) -> String {
         let transaction = REQUESTS.fetch_add(1, Ordering::Relaxed);
         let plan = if self.metered_tenants.is_some() { PLAN_METERED } else { PLAN_FREE };
-        let tenant = number % self.metered_tenants.unwrap_or(1).max(1);
+        let tenant = (self.before + number) % self.metered_tenants.unwrap_or(1).max(1);
         let spread = SPREAD.min(self.gateways);
         format!(
             "GET /{CLASS} HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {transaction:016x}\r\nX-Lane: {CLASS}\r\n\
--- a/lab/src/process/mod.rs
+++ b/lab/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! The `process` command: benchmarks of the policy alone and of the built program, at growing counts of workers and
 //! tenants.
 
+pub mod bounds;
 pub mod child;
 pub mod error;
 pub mod http;
@@ -12,6 +13,7 @@
 pub mod program;
 pub mod program_row;
 pub mod report;
+pub mod settling;
 pub mod stand_in_counter;
 pub mod stand_in_discovery;
 pub mod stand_in_workers;
--- /dev/null
+++ b/lab/tests/process_bounds.rs
@@ -0,0 +1,119 @@
+//! The bounds of a checked run, and when a rate counts as settled.
+
+use oliverack_lab::process::{
+    Error,
+    bounds::{self, Bound, CheckFailure},
+    report::{Metric, Report, Subject},
+    settling::Settling,
+};
+
+const GATEWAYS: u32 = 680;
+
+/// A report whose values of the bounded row all stand at their bounds.
+fn report_at_the_bounds() -> Report {
+    let subject = bounds::bounded_subject(GATEWAYS);
+    let mut report = Report::default();
+    report.record(Subject { size: 100, ..subject }, Metric::RequestProcessorMicros, 100.0);
+    report.record(subject, Metric::RequestProcessorMicros, 125.0);
+    report.record(subject, Metric::ChangeProcessorMicros, 200.0);
+    report.record(subject, Metric::PeakIndentedKibibytes, 32.0 * 1024.0);
+    report.record(subject, Metric::WorkerOutsideBytes, 149.9);
+    report
+}
+
+fn program(report: &Report) -> Vec<CheckFailure> {
+    let subject = bounds::bounded_subject(GATEWAYS);
+    bounds::check(report, bounds::PROGRAM.map(|bound| (subject, bound)))
+}
+
+fn policy(report: &Report) -> Vec<CheckFailure> {
+    let subject = bounds::bounded_subject(GATEWAYS);
+    bounds::check(report, [bounds::CHANGE, bounds::OUTSIDE_STATE].map(|bound| (subject, bound)))
+}
+
+fn crossed(failures: &[CheckFailure]) -> Vec<Metric> {
+    let metric = |failure: &CheckFailure| match failure {
+        CheckFailure::Crossed { bound: Bound { metric, .. }, .. } => Some(*metric),
+        CheckFailure::Row(_) => None,
+    };
+    failures.iter().filter_map(metric).collect()
+}
+
+#[test]
+fn values_at_the_bounds_pass() {
+    assert_eq!(program(&report_at_the_bounds()), []);
+    assert_eq!(policy(&report_at_the_bounds()), []);
+}
+
+#[test]
+fn each_value_over_its_bound_fails_the_check() {
+    let subject = bounds::bounded_subject(GATEWAYS);
+    let over = |metric, value| {
+        let mut report = report_at_the_bounds();
+        // Two values move the median of the three.
+        (0..2).for_each(|_| report.record(subject, metric, value));
+        report
+    };
+    let metric = Metric::RequestProcessorMicros;
+    assert_eq!(crossed(&program(&over(metric, 125.1))), [metric]);
+    let metric = Metric::ChangeProcessorMicros;
+    assert_eq!(crossed(&program(&over(metric, 200.1))), [metric]);
+    assert_eq!(crossed(&policy(&over(metric, 200.1))), [metric]);
+    let metric = Metric::WorkerOutsideBytes;
+    assert_eq!(crossed(&policy(&over(metric, 150.0))), [metric]);
+}
+
+#[test]
+fn memory_over_its_bound_in_one_round_fails_the_check() {
+    let metric = Metric::PeakIndentedKibibytes;
+    let mut report = report_at_the_bounds();
+    (0..4).for_each(|_| report.record(bounds::bounded_subject(GATEWAYS), metric, 1024.0));
+    report.record(bounds::bounded_subject(GATEWAYS), metric, 32.0 * 1024.0 + 1.0);
+    assert_eq!(crossed(&program(&report)), [metric]);
+}
+
+#[test]
+fn missing_values_fail_the_check() {
+    let failures = program(&Report::default());
+    assert_eq!(crossed(&failures), bounds::PROGRAM.map(|bound| bound.metric));
+    assert_eq!(
+        failures[0].to_string(),
+        "9200 workers, 680 gateways: processor time a request [us], ratio: not measured, bound at most 1.25"
+    );
+    assert_eq!(policy(&Report::default()).len(), 2);
+}
+
+#[test]
+fn a_ratio_without_its_base_row_fails_the_check() {
+    let mut report = Report::default();
+    report.record(bounds::bounded_subject(GATEWAYS), Metric::RequestProcessorMicros, 100.0);
+    assert!(crossed(&program(&report)).contains(&Metric::RequestProcessorMicros));
+}
+
+#[test]
+fn a_failed_row_fails_the_check_with_its_reason() {
+    let mut report = report_at_the_bounds();
+    let row = Subject { size: 10, ..bounds::bounded_subject(GATEWAYS) };
+    report.fail(row, &Error::FewCounterCalls { calls: 3, sent: 6000, least: 0.01 });
+    let failures = program(&report);
+    assert_eq!(failures.len(), 1);
+    assert_eq!(
+        failures[0].to_string(),
+        "10 workers, 680 gateways, in 1 rounds: the counter was called 3 times in 6000 requests, fewer than 0.01 a \
+         request"
+    );
+}
+
+#[test]
+fn a_rate_settles_once_three_batches_agree() {
+    let mut settling = Settling::default();
+    let settled = [0.1, 0.2, 0.4, 0.42, 0.43, 0.42].map(|value| settling.note(value, 0.01));
+    assert_eq!(settled, [false, false, false, false, true, true]);
+}
+
+#[test]
+fn a_rate_under_the_least_does_not_settle() {
+    let mut settling = Settling::default();
+    assert!([0.0; 6].into_iter().all(|value| !settling.note(value, 0.01)));
+    assert!([0.009; 6].into_iter().all(|value| !settling.note(value, 0.01)));
+}
--- a/lab/tests/process_command.rs
+++ b/lab/tests/process_command.rs
@@ -60,6 +60,22 @@
     assert!(text.contains("FAILED: 20 tenants"), "{text}");
 }
 
+#[test]
+fn a_checked_run_of_the_program_fails_with_its_failed_rows_and_missing_values() {
+    let output = process("program --check --program /bin/false --workers 100,9200 --tenants 20 --rounds 1");
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success(), "{text}");
+    for reason in [
+        "9200 workers, 680 gateways: processor time a request [us], ratio: not measured",
+        "9200 workers, 680 gateways: processor time a one-entry change [us], median: not measured",
+        "9200 workers, 680 gateways: peak resident memory after the indented list [KiB], highest: not measured",
+        "100 workers, 680 gateways, in 1 rounds: the program ended before it listened",
+        "20 tenants, 4 gateways, in 1 rounds: the program ended before it listened",
+    ] {
+        assert!(text.contains(reason), "{reason}: {text}");
+    }
+}
+
 #[test]
 fn arguments_that_cannot_be_used_are_rejected_with_a_reason() {
     assert_rejected("policy --rounds 0", "rounds, requests and changes must be above 0");
@@ -67,6 +83,10 @@
     assert_rejected("program --program /bin/false --tenants 1000001", "must be from 1 to 1000000");
     assert_rejected("policy --gateways 0", "counts of gateways must be above 0");
     assert_rejected("policy --check --workers 100", "needs 100 and 9200");
+    assert_rejected("policy --check --gateways 1", "needs a count of gateways above 1");
+    assert_rejected("program --check --workers 9200", "needs 100 and 9200");
+    assert_rejected("program --check --memory-mb 33", "needs a memory limit of 32 MB at most");
+    assert_rejected("program --tenant-gateways 0", "must be above 0");
     assert_rejected("policy --workers many", "invalid digit");
     assert_rejected("program --program /nowhere/program", "there is no program at /nowhere/program");
     assert_rejected("program --connections 0", "must be above 0");
