Answer a client as failed where an answer breaks before its first byte

Looked at: a panic (none possible by reading where pools and hosts are borrowed), the times of slow clients (unchanged), the passing on of answers: pass_back held the head back for the first bytes, and reset the client's connection where the worker broke before any, which is an end without an answer. The rule excuses a break only once passing on has begun. Change: such a client gets 502. The forced test (a head, a wait, a close) found no answer before and passes now.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -760,8 +760,14 @@
         match reply.body {
             Outcome::Whole(_) => self.socket.write_all(&head).await.ok().map(|()| end),
             Outcome::Pieces(length, pieces) => {
-                if self.pass_back(head, length.is_none() && minor > 0, pieces).await.ok()? {
-                    return Some(end);
+                match self.pass_back(head, length.is_none() && minor > 0, pieces).await.ok()? {
+                    Passed::Whole => return Some(end),
+                    Passed::Nothing => {
+                        let failed = Reply::plain(StatusCode::BAD_GATEWAY);
+                        self.socket.write_all(&render(&failed, keep, minor)).await.ok()?;
+                        return Some(failed.end());
+                    }
+                    Passed::Cut => {}
                 }
                 // Reset, so that also a client which tells the end by the close sees that this is none.
                 let _ = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO));
@@ -771,8 +777,9 @@
         }
     }
 
-    /// Passes an answer on as it comes; `false`: it was cut.
-    async fn pass_back(&mut self, head: Vec<u8>, chunked: bool, mut pieces: Pieces) -> io::Result<bool> {
+    /// Passes an answer on as it comes. Its head goes with its first bytes, so that a client can still be told of a
+    /// break before these.
+    async fn pass_back(&mut self, head: Vec<u8>, chunked: bool, mut pieces: Pieces) -> io::Result<Passed> {
         // The bound on memory holds for answers, too: what finds no room waits at its worker.
         let _room = loop {
             match self.clients.take_room(STREAM.saturating_sub(self.room.1)) {
@@ -782,19 +789,19 @@
         };
         // Where it can't be set the default holds, which is larger.
         let _ = SockRef::from(&*self.socket).set_send_buffer_size(SEND_BUFFER);
-        let mut text = head;
+        let (mut text, mut begun) = (head, false);
         loop {
             self.peer.now(Stage::Busy);
             let piece = pieces.recv().await;
             self.peer.now(Stage::Passing);
             match piece {
-                None => return Ok(false),
+                None => return Ok(if begun { Passed::Cut } else { Passed::Nothing }),
                 Some(Piece::End) => {
                     if chunked {
                         text.extend_from_slice(b"0\r\n\r\n");
                     }
                     self.write(&text).await?;
-                    return Ok(true);
+                    return Ok(Passed::Whole);
                 }
                 Some(Piece::Data(bytes)) if bytes.is_empty() => {}
                 Some(Piece::Data(bytes)) => {
@@ -806,6 +813,7 @@
                     if chunked {
                         text.extend_from_slice(b"\r\n");
                     }
+                    begun = true;
                     self.write(&text).await?;
                     text.clear();
                 }
@@ -870,6 +878,13 @@
     }
 }
 
+/// How much of an answer has been passed on.
+enum Passed {
+    Whole,
+    Cut,
+    Nothing,
+}
+
 /// An answer's body.
 enum Outcome {
     Whole(Bytes),
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -132,6 +132,23 @@
     }
 }
 
+#[test]
+fn a_break_before_the_first_byte_of_a_body_is_answered_as_failed() {
+    let gate = Arc::new(Gate::default());
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let worker = Worker::start(Does::SaysInTwo(head, gate.clone(), ""));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask::submit("a"));
+    worker.request();
+    // Long enough for the answer to count as one that passes on as it comes; the verdict holds also if it does not yet.
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    gate.open();
+    let answer = client.answer().expect("a client that has got nothing is told");
+    assert!(answer.status() >= 500, "{}", answer.line);
+}
+
 #[test]
 fn a_client_that_does_not_read_holds_up_the_worker_and_costs_little_memory() {
     let worker = Worker::start(Does::Says(sized(&text(LARGE))));
