--- a/lab/src/fleet/clock.rs
+++ b/lab/src/fleet/clock.rs
@@ -1,8 +1,8 @@
 //! The discrete clock: a queue of events in the order of their time.
 
+use oliverack::Time;
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
-use weirusher::Time;
 
 /// The clock at the start of a run. Not zero, as zero means "long ago" in the list of workers.
 pub const START: Time = 100.0;
--- a/lab/src/fleet/counter.rs
+++ b/lab/src/fleet/counter.rs
@@ -1,10 +1,10 @@
 //! The counter service: names spread over parts, each of which serves its calls one after another.
 
 use super::configuration;
+use oliverack::Time;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, VecDeque};
-use weirusher::Time;
 
 /// What becomes of a call that has reached the counter.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/lab/src/fleet/counter_calls.rs
+++ b/lab/src/fleet/counter_calls.rs
@@ -1,7 +1,7 @@
 //! A gatekeeper's calls to the counter: answers for one name are handed over in the order of the calls.
 
+use oliverack::{Event, Status, Time};
 use std::collections::{BTreeMap, VecDeque};
-use weirusher::{Event, Status, Time};
 
 /// A call of a gatekeeper.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/lab/src/fleet/discovery.rs
+++ b/lab/src/fleet/discovery.rs
@@ -2,8 +2,8 @@
 
 use super::configuration;
 use super::wire_size;
+use oliverack::{Server, ServerId, Time};
 use std::sync::Arc;
-use weirusher::{Server, ServerId, Time};
 
 /// A list as it is told to many gatekeepers.
 #[derive(Debug, Clone, PartialEq)]
@@ -104,7 +104,7 @@
                 }
             }
         }
-        servers.retain(|server| server.lifecycle != weirusher::Lifecycle::Gone);
+        servers.retain(|server| server.lifecycle != oliverack::Lifecycle::Gone);
         servers
     }
 }
--- a/lab/src/fleet/faults.rs
+++ b/lab/src/fleet/faults.rs
@@ -3,9 +3,9 @@
 use super::clock::START;
 use super::configuration::{Configuration, Fault};
 use super::randomness::{between, sample};
+use oliverack::Time;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use weirusher::Time;
 
 /// One thing that happens to the fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/lab/src/fleet/gatekeepers.rs
+++ b/lab/src/fleet/gatekeepers.rs
@@ -4,9 +4,9 @@
 use super::counter_calls::CounterCalls;
 use super::measures::Traffic;
 use super::processor::{ProcessorTimes, Work};
+use oliverack::{Action, Class, Effect, Event, Gateway, Group, Plan, Settings, SettingsError, Time};
 use std::collections::HashSet;
 use std::time::Instant;
-use weirusher::{Action, Class, Effect, Event, Gateway, Group, Plan, Settings, SettingsError, Time};
 
 /// One gatekeeper.
 #[derive(Debug)]
@@ -109,7 +109,7 @@
     }
 
     /// Workers that the policy lists, and those of them that it avoids.
-    pub fn targets(&self, now: Time) -> weirusher::Targets {
+    pub fn targets(&self, now: Time) -> oliverack::Targets {
         self.policy.targets(now)
     }
 }
--- a/lab/src/fleet/measures.rs
+++ b/lab/src/fleet/measures.rs
@@ -2,9 +2,9 @@
 
 use super::clock::START;
 use hdrhistogram::Histogram;
+use oliverack::{Status, Time};
 use serde::Serialize;
 use std::ops::AddAssign;
-use weirusher::{Status, Time};
 
 /// Messages and their bytes, both ways.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Simulates a fleet of gatekeepers on a discrete clock.
 //!
-//! Each gatekeeper holds the policy itself ([`weirusher::Gateway`]). Workers, discovery, the counter, the tenants and
+//! Each gatekeeper holds the policy itself ([`oliverack::Gateway`]). Workers, discovery, the counter, the tenants and
 //! the network are models. All sizes, rates and faults come from a TOML file, all random numbers from a seed, so a
 //! file and a seed give the same figures each time, processor times excepted.
 
@@ -24,6 +24,7 @@
 pub mod workers;
 
 use configuration::{Configuration, FaultFile};
+use oliverack::SettingsError;
 use report::Record;
 use serde::de::DeserializeOwned;
 use simulation::Simulation;
@@ -33,7 +34,6 @@
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 use validation::InvalidFigure;
-use weirusher::SettingsError;
 
 /// Explains the file in the help of the command.
 const FILE_HELP: &str = "\
--- a/lab/src/fleet/processor.rs
+++ b/lab/src/fleet/processor.rs
@@ -1,9 +1,9 @@
 //! Processor time of the policy, by kind of event. The only figures of a run that differ from one run to the next.
 
 use hdrhistogram::Histogram;
+use oliverack::{Event, ListKind};
 use serde::Serialize;
 use std::time::Duration;
-use weirusher::{Event, ListKind};
 
 /// What the policy was doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/lab/src/fleet/requests.rs
+++ b/lab/src/fleet/requests.rs
@@ -1,7 +1,7 @@
 //! Requests that are open at gatekeepers, and their attempts.
 
+use oliverack::{JobId, ServerId, Time};
 use std::collections::BTreeMap;
-use weirusher::{JobId, ServerId, Time};
 
 /// One attempt of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/lab/src/fleet/simulation/actions.rs
+++ b/lab/src/fleet/simulation/actions.rs
@@ -4,7 +4,7 @@
 use crate::fleet::gatekeepers::Address;
 use crate::fleet::requests::{Attempt, AttemptKey, number_of};
 use crate::fleet::wire_size;
-use weirusher::{Action, Event, Load, ServerId, Status};
+use oliverack::{Action, Event, Load, ServerId, Status};
 
 impl Simulation {
     pub(super) fn carry_out(&mut self, from: Address, action: Action) {
--- a/lab/src/fleet/simulation/attempts.rs
+++ b/lab/src/fleet/simulation/attempts.rs
@@ -4,7 +4,7 @@
 use crate::fleet::requests::AttemptKey;
 use crate::fleet::wire_size;
 use crate::fleet::workers::{Condition, Reception};
-use weirusher::{Event, Load, Status};
+use oliverack::{Event, Load, Status};
 
 impl Simulation {
     pub(super) fn attempt_arrives(&mut self, attempt: AttemptKey, worker: usize, work: f64) {
--- a/lab/src/fleet/simulation/clients.rs
+++ b/lab/src/fleet/simulation/clients.rs
@@ -7,8 +7,8 @@
 use crate::fleet::randomness::{exponential, weighted};
 use crate::fleet::requests::{Wish, job_id};
 use crate::fleet::wire_size::{self, Quota, RequestHead};
+use oliverack::{Event, Request};
 use rand::Rng;
-use weirusher::{Event, Request};
 
 /// Seconds past its deadline that a client still takes an answer: that to a time-out that ends with the deadline.
 const LAST_ANSWER: f64 = 0.01;
--- a/lab/src/fleet/simulation/counting.rs
+++ b/lab/src/fleet/simulation/counting.rs
@@ -5,7 +5,7 @@
 use crate::fleet::counter_calls::{CallEnd, CallKey};
 use crate::fleet::gatekeepers::Address;
 use crate::fleet::wire_size;
-use weirusher::{Event, Status};
+use oliverack::{Event, Status};
 
 impl Simulation {
     /// Begins a call.
--- a/lab/src/fleet/simulation/incidents.rs
+++ b/lab/src/fleet/simulation/incidents.rs
@@ -4,8 +4,8 @@
 use crate::fleet::faults::Incident;
 use crate::fleet::gatekeepers;
 use crate::fleet::workers::{Condition, Worker};
+use oliverack::{Lifecycle, SettingsError, Status};
 use rand::Rng;
-use weirusher::{Lifecycle, SettingsError, Status};
 
 impl Simulation {
     pub(super) fn incident(&mut self, incident: Incident) {
--- a/lab/src/fleet/simulation/lists.rs
+++ b/lab/src/fleet/simulation/lists.rs
@@ -4,8 +4,8 @@
 use crate::fleet::discovery::{SharedList, Turn};
 use crate::fleet::gatekeepers::Address;
 use crate::fleet::wire_size;
+use oliverack::{Event, Lifecycle, ListKind, Time};
 use std::sync::Arc;
-use weirusher::{Event, Lifecycle, ListKind, Time};
 
 impl Simulation {
     /// A gatekeeper that has just started holds the list as it was last told, perhaps stale.
--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -20,11 +20,11 @@
 use super::requests::{AttemptKey, RequestTable, Wish};
 use super::tenants::{self, Tenant};
 use super::workers::Worker;
+use oliverack::{Event, Lifecycle, ListKind, Server, ServerId, SettingsError, Status, Time};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::sync::Arc;
-use weirusher::{Event, Lifecycle, ListKind, Server, ServerId, SettingsError, Status, Time};
 
 /// Seconds that a run goes on after the longest deadline, for outcomes that are still owed.
 const LAST_OUTCOMES: f64 = 1.0;
--- a/lab/src/fleet/tenants.rs
+++ b/lab/src/fleet/tenants.rs
@@ -3,9 +3,9 @@
 use super::clock::START;
 use super::configuration::{self, Configuration, Usage};
 use super::randomness::{self, between, weighted};
+use oliverack::{CustomerId, Time};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use weirusher::{CustomerId, Time};
 
 /// A token bucket.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/lab/src/fleet/wire_size.rs
+++ b/lab/src/fleet/wire_size.rs
@@ -1,8 +1,8 @@
 //! Bytes of each message as it would stand on the wire. Nothing is kept: texts are measured as they are formatted.
 
 use super::configuration::Repeat;
+use oliverack::{Lifecycle, Server};
 use std::fmt::{self, Write};
-use weirusher::{Lifecycle, Server};
 
 /// Bytes of the value of `X-Txn`.
 const TRANSACTION: usize = 16;
--- a/lab/src/fleet/workers.rs
+++ b/lab/src/fleet/workers.rs
@@ -2,8 +2,8 @@
 
 use super::configuration;
 use super::requests::AttemptKey;
+use oliverack::{Status, Time};
 use std::collections::VecDeque;
-use weirusher::{Status, Time};
 
 /// What a worker does with requests at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/lab/src/process/error.rs
+++ b/lab/src/process/error.rs
@@ -1,8 +1,8 @@
 //! Why a measurement could not be made.
 
 use super::bounds::CheckFailure;
+use oliverack::SettingsError;
 use std::{fmt, io, path::PathBuf, time::Duration};
-use weirusher::SettingsError;
 
 /// Why a measurement could not be made.
 #[derive(Debug)]
--- a/lab/src/process/policy.rs
+++ b/lab/src/process/policy.rs
@@ -8,11 +8,11 @@
     report::{Axis, Metric, Report, Subject, check_sizes},
 };
 use cpu_time::ThreadTime;
+use oliverack::Lifecycle;
 use std::{
     path::PathBuf,
     time::{Duration, Instant},
 };
-use weirusher::Lifecycle;
 
 /// Workers in the rows of tenants.
 const TENANT_ROW_WORKERS: usize = 100;
--- a/lab/src/process/policy_driver.rs
+++ b/lab/src/process/policy_driver.rs
@@ -1,14 +1,14 @@
 //! Drives one gateway's policy without any I/O: workers and counter answer at once.
 
 use super::Error;
+use oliverack::{
+    Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Plan, Request, Server,
+    ServerId, Settings, Status,
+};
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     sync::Arc,
 };
-use weirusher::{
-    Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Plan, Request, Server,
-    ServerId, Settings, Status,
-};
 
 /// The seed of every gateway, so that runs differ in nothing but time.
 const SEED: u64 = 1;
--- a/lab/src/process/program.rs
+++ b/lab/src/process/program.rs
@@ -14,7 +14,7 @@
 /// Arguments of `process program`.
 #[derive(Debug, clap::Args)]
 pub struct Arguments {
-    /// The built program; by default target/release/yardspur in the workspace.
+    /// The built program; by default target/release/oliverack in the workspace.
     #[arg(long)]
     program: Option<PathBuf>,
     /// Counts of listed workers.
@@ -103,7 +103,7 @@
 
 /// The release build in the workspace's target folder.
 fn default_program() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/release/yardspur")
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../target/release/oliverack")
 }
 
 /// Measures the program and publishes the report.
--- a/lab/tests/fleet_models.rs
+++ b/lab/tests/fleet_models.rs
@@ -1,5 +1,6 @@
 //! The models of the simulated fleet, one by one.
 
+use oliverack::{Event, Lifecycle, Server, Status};
 use oliverack_lab::fleet::clock::{EventQueue, START};
 use oliverack_lab::fleet::configuration::{Counter as CounterFigures, Discovery as DiscoveryFigures};
 use oliverack_lab::fleet::configuration::{DiscoveryMode, Workers as WorkerFigures};
@@ -11,7 +12,6 @@
 use oliverack_lab::fleet::tenants::TokenBucket;
 use oliverack_lab::fleet::wire_size;
 use oliverack_lab::fleet::workers::{Condition, Reception, Worker};
-use weirusher::{Event, Lifecycle, Server, Status};
 
 /// A counter of one part that serves 100 calls a second and lets two wait.
 fn counter() -> Counter {
--- a/lab/tests/process_report.rs
+++ b/lab/tests/process_report.rs
@@ -25,7 +25,7 @@
 fn readings_of_proc_are_understood() {
     let spent = proc_reading::parse_schedstat("364058052 17 15\n").expect("a reading");
     assert_eq!(spent, Duration::from_nanos(364_058_052));
-    let status = "Name:\tyardspur\nVmPeak:\t   90 kB\nVmHWM:\t    21568 kB\nVmRSS:\t    16052 kB\n";
+    let status = "Name:\toliverack\nVmPeak:\t   90 kB\nVmHWM:\t    21568 kB\nVmRSS:\t    16052 kB\n";
     let memory = proc_reading::parse_status(status).expect("a reading");
     assert_eq!((memory.resident, memory.peak), (16_052 * 1024, 21_568 * 1024));
     assert!(proc_reading::parse_schedstat("").is_err());
--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/oliverack-sim.rs
@@ -1,11 +1,11 @@
 //! The bench's adapter: translates the wire to the module's events and its actions back. It decides nothing.
 #![forbid(unsafe_code)]
 
+use oliverack::*;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufRead, Write};
-use weirusher::*;
 
 type Fallible<T> = Result<T, String>;
 
@@ -240,7 +240,7 @@
     match serve() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("weirusher-benchlink: {message}");
+            eprintln!("oliverack-sim: {message}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! weirusher: the decisions of a gateway that holds customers to shared quotas before a common back end.
+//! oliverack: the decisions of a gateway that holds customers to shared quotas before a common back end.
 //!
 //! The crate does no I/O and reads no clock: feed [`Gateway::handle`] one [`Event`] at a time with the
 //! current time, and carry out the [`Action`]s it appends. In a page:
--- a/src/bin/yardspur/clients.rs
+++ b/src/node/clients.rs
@@ -1,7 +1,7 @@
 //! The HTTP server: takes connections, hands requests over, writes the answers, and sees that no client
 //! holds more than its part.
 
-use crate::{
+use super::{
     figures,
     gateway::{Answer, Demand, Hub},
     http::{self, Body, Framing, Head, MAX_WHOLE},
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use fnv::FnvHashMap;
 use hyper::{HeaderMap, Method, StatusCode, header, header::HeaderValue};
+use oliverack::JobId;
 use socket2::SockRef;
 use std::{
     cell::{Cell, RefCell},
@@ -25,7 +26,6 @@
     sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
-use weirusher::JobId;
 
 /// Longest time for a request to come whole, from the connection or its first byte on, beside what its body takes
 /// at the slowest; and longest time without a byte of it. A client may take 2 s for a head, and one that brings
@@ -240,7 +240,7 @@
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
                     if !self.complained.replace(true) {
-                        eprintln!("yardspur: accept: {e}");
+                        eprintln!("oliverack: accept: {e}");
                     }
                     self.make_room();
                     tokio::time::sleep(PAUSE).await;
--- a/src/bin/yardspur/config.rs
+++ b/src/node/config.rs
@@ -1,9 +1,10 @@
 //! What a gateway is told at its start.
 
-use crate::{
+use super::{
     list::{List, Listed},
     operator,
 };
+use oliverack::{Options, OptionsError};
 use serde::Deserialize;
 use serde_json::Value;
 use std::{
@@ -13,7 +14,6 @@
     os::fd::RawFd,
     str::FromStr,
 };
-use weirusher::{Options, OptionsError};
 
 #[derive(Debug, Deserialize)]
 struct Limits {
--- a/src/bin/yardspur/counter.rs
+++ b/src/node/counter.rs
@@ -4,7 +4,8 @@
 //! one does not stall the rest; calls for one name that are still waited for stay on one line, as their
 //! answers must come in order.
 
-use crate::gateway::Hub;
+use super::gateway::Hub;
+use oliverack::{Event, Status};
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
@@ -18,7 +19,6 @@
     net::{TcpStream, tcp::OwnedWriteHalf},
     sync::Notify,
 };
-use weirusher::{Event, Status};
 
 /// Lines at most; the counter holds 32 of a gateway.
 pub const LINES: usize = 4;
@@ -257,7 +257,7 @@
     fn complain(&self, fault: &io::Error) {
         if self.complained.get().is_none_or(|at| at.elapsed() > COMPLAINTS) {
             self.complained.set(Some(Instant::now()));
-            eprintln!("yardspur: counter: {fault}");
+            eprintln!("oliverack: counter: {fault}");
         }
     }
 
@@ -365,5 +365,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/counter.rs"]
+#[path = "../../tests/unit/counter.rs"]
 mod tests;
--- a/src/bin/yardspur/discovery.rs
+++ b/src/node/discovery.rs
@@ -1,7 +1,7 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt. Where beginning a watch has
 //! its price, the module says when, and the watch goes on from the list that is known.
 
-use crate::{
+use super::{
     gateway::Hub,
     link::{Bounds, Link},
     list::List,
@@ -10,13 +10,13 @@
 };
 use bytes::Bytes;
 use hyper::{Request, StatusCode, Uri, header, http::response::Parts};
+use oliverack::ListKind;
 use std::{cell::Cell, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     sync::watch,
     task::yield_now,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use weirusher::ListKind;
 
 /// How long discovery may hold a watch, from the call's begin on. Whatever becomes of a call, a change counts as told
 /// 6 s after discovery had it: the hold, the patience past it, the pause or the module's turn (1 s) and a connection
@@ -112,7 +112,7 @@
             Ok(list) => {
                 let recovered = trouble.take().is_some();
                 if recovered {
-                    eprintln!("yardspur: discovery answers again");
+                    eprintln!("oliverack: discovery answers again");
                 }
                 wait = BACKOFF.0;
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
@@ -130,7 +130,7 @@
             Err(fault) => {
                 // One line for each kind of fault in a row, not one a call.
                 if trouble.replace(fault) != Some(fault) {
-                    eprintln!("yardspur: discovery: {fault}");
+                    eprintln!("oliverack: discovery: {fault}");
                 }
                 link = None;
                 // A service that turns calls away says nothing of the version.
--- a/src/bin/yardspur/figures.rs
+++ b/src/node/figures.rs
@@ -1,7 +1,7 @@
 //! What operators read at `/stats`: each figure is counted at one place, here, or read from live state.
 
+use oliverack::Targets;
 use std::{cell::Cell, fmt::Write, rc::Rc};
-use weirusher::Targets;
 
 /// How a request ended, as its client saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -79,5 +79,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/figures.rs"]
+#[path = "../../tests/unit/figures.rs"]
 mod tests;
--- a/src/bin/yardspur/gateway.rs
+++ b/src/node/gateway.rs
@@ -1,7 +1,7 @@
 //! Owns the one `Gateway`, its clock, its timers and the open requests: turns what happens into events and
 //! carries out the actions. It decides nothing.
 
-use crate::{
+use super::{
     config::Config,
     counter::Counter,
     figures::Figures,
@@ -14,6 +14,9 @@
 use bytes::Bytes;
 use fnv::{FnvHashMap, FnvHashSet};
 use hyper::header::HeaderValue;
+use oliverack::{
+    Action, Event, Gateway, JobId, ListKind, Load, Memory, Request, ServerId, SettingsError, Status, Time,
+};
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
@@ -26,9 +29,6 @@
     sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
-use weirusher::{
-    Action, Event, Gateway, JobId, ListKind, Load, Memory, Request, ServerId, SettingsError, Status, Time,
-};
 
 /// Clients of the counter at old addresses, at most: several reloads in a row leave no more.
 pub const RETIRED: usize = 2;
@@ -222,7 +222,7 @@
     pub fn recall(self: &Rc<Self>) {
         match self.keep.as_ref().map_or(Ok(Vec::new()), Keep::load) {
             Ok(out) => out.into_iter().for_each(|server| self.post(Event::ByHand { server, out: true })),
-            Err(error) => eprintln!("yardspur: {error}"),
+            Err(error) => eprintln!("oliverack: {error}"),
         }
     }
 
@@ -239,7 +239,7 @@
     /// So many processes of this gateway are there now: what it may hold is dealt out among them.
     pub fn share(self: &Rc<Self>) {
         let (place, of) = self.siblings.sharing();
-        eprintln!("yardspur: one of {of} at work for this gateway");
+        eprintln!("oliverack: one of {of} at work for this gateway");
         self.workers.share(of as usize);
         self.post(Event::Sharing { place, of });
     }
@@ -343,7 +343,7 @@
 
     /// Operators have told this process, or one beside it.
     pub fn heed(self: &Rc<Self>, server: &ServerId, out: bool) {
-        eprintln!("yardspur: by hand: worker {server} {}", if out { "out" } else { "back" });
+        eprintln!("oliverack: by hand: worker {server} {}", if out { "out" } else { "back" });
         self.workers.left_out(server);
         self.post(Event::ByHand { server: server.clone(), out });
     }
@@ -512,9 +512,9 @@
                     });
                 }
             },
-            Action::Log(text) => eprintln!("yardspur: {text}"),
+            Action::Log(text) => eprintln!("oliverack: {text}"),
             Action::Watch => self.asked.notify_one(),
-            other => eprintln!("yardspur: an action is unknown: {other:?}"),
+            other => eprintln!("oliverack: an action is unknown: {other:?}"),
         }
     }
 
--- a/src/bin/yardspur/http.rs
+++ b/src/node/http.rs
@@ -221,5 +221,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/http.rs"]
+#[path = "../../tests/unit/http.rs"]
 mod tests;
--- a/src/bin/yardspur/keep.rs
+++ b/src/node/keep.rs
@@ -1,9 +1,9 @@
 //! What must outlive the process: the workers that operators have left out, in a file in the folder that a
 //! process shares with its successor.
 
+use oliverack::ServerId;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeSet, env, fmt, fs, io, path::PathBuf, process};
-use weirusher::ServerId;
 
 /// Longest file that is read: far more workers than any list names.
 const MOST: u64 = 1 << 20;
@@ -44,7 +44,7 @@
     // Short and plain, whatever the node is called; two that come out alike are told apart by what is inside.
     let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
     let name: String = node.chars().take(32).map(plain).collect();
-    Some((folder.into(), format!("yardspur-{name}")))
+    Some((folder.into(), format!("oliverack-{name}")))
 }
 
 /// Where the workers left out are kept.
--- a/src/bin/yardspur/link.rs
+++ b/src/node/link.rs
@@ -3,7 +3,7 @@
 //! The connection has no task of its own: whoever holds it drives it, so dropping it closes the socket at
 //! once, and nothing can be sent again behind the holder's back.
 
-use crate::{
+use super::{
     http::MAX_HEAD,
     stream::{Outgoing, Piece},
 };
--- a/src/bin/yardspur/list.rs
+++ b/src/node/list.rs
@@ -1,12 +1,12 @@
 //! The list of workers in discovery's form. It is read from its text without a copy of any of its strings.
 
+use oliverack::{Lifecycle, Server};
 use serde::Deserialize;
 use std::{
     borrow::Cow,
     hash::{Hash, Hasher},
     net::SocketAddr,
 };
-use weirusher::{Lifecycle, Server};
 
 /// A list of workers, borrowed from its text.
 #[derive(Debug, Deserialize)]
--- a/src/bin/yardspur/main.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,4 @@
-//! yardspur: the gateway on real sockets. Reads the configuration, wires the parts and ends in good order.
-#![deny(unsafe_code)]
+//! The gateway on real sockets. Reads the configuration, wires the parts and ends in good order.
 
 mod clients;
 mod config;
@@ -19,13 +18,13 @@
 use clients::Clients;
 use config::{Config, ConfigError};
 use gateway::Hub;
+use oliverack::SettingsError;
 use operator::Operators;
 use socket2::SockRef;
 use std::{
     fmt, fs, io,
     net::SocketAddr,
     os::fd::{FromRawFd, RawFd},
-    process::ExitCode,
     rc::Rc,
     time::Duration,
 };
@@ -37,7 +36,6 @@
     task::JoinSet,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
-use weirusher::SettingsError;
 
 /// After SIGTERM connections still come for up to 0.4 s.
 const SERVE_ON: Duration = Duration::from_millis(500);
@@ -58,8 +56,9 @@
 /// configuration being read, and the counter's lines, also those at old addresses.
 const OTHERS: usize = 21 + counter::LINES * (1 + gateway::RETIRED);
 
+/// Why the gateway could not start, or go on.
 #[derive(Debug)]
-enum NodeError {
+pub enum NodeError {
     Config(ConfigError),
     Settings(SettingsError),
     Listen(io::Error),
@@ -123,10 +122,10 @@
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
     let clients = Clients::new(hub.clone(), shares - to_workers, bodies);
     let watch = tokio::task::spawn_local(clients.clone().watch());
-    eprintln!("yardspur: {name} listens on {bound}");
+    eprintln!("oliverack: {name} listens on {bound}");
     if let Some(listener) = operators {
         if let Ok(addr) = listener.local_addr() {
-            eprintln!("yardspur: operators call {addr}");
+            eprintln!("oliverack: operators call {addr}");
         }
         calls.spawn_local(Rc::new(Operators { hub: hub.clone(), clients: clients.clone() }).serve(listener));
     }
@@ -142,9 +141,9 @@
         _ = sweeps => return Err(NodeError::Part("idle connections")),
         Some(_) = calls.join_next() => return Err(NodeError::Part("operators and siblings")),
     }
-    eprintln!("yardspur: {name} stops with {} in hand", hub.in_hand());
+    eprintln!("oliverack: {name} stops with {} in hand", hub.in_hand());
     drain(&hub, &clients, listener, kill).await;
-    eprintln!("yardspur: {name} has stopped");
+    eprintln!("oliverack: {name} has stopped");
     Ok(())
 }
 
@@ -207,11 +206,11 @@
         match Config::load() {
             Ok(config) => {
                 let counter = config.counter.map_or("none".to_owned(), |c| c.to_string());
-                eprintln!("yardspur: reload: discovery at {}, counter at {counter}", config.discovery);
+                eprintln!("oliverack: reload: discovery at {}, counter at {counter}", config.discovery);
                 place.send_replace(config.discovery);
                 hub.move_counter(config.counter);
             }
-            Err(error) => eprintln!("yardspur: reload: the old configuration stays: {error}"),
+            Err(error) => eprintln!("oliverack: reload: the old configuration stays: {error}"),
         }
     }
 }
@@ -223,7 +222,11 @@
     }
 }
 
-fn start() -> Result<(), NodeError> {
+/// Runs the gateway until it is told to end.
+///
+/// # Errors
+/// It can't start, or one of its parts has failed.
+pub fn run_configured() -> Result<(), NodeError> {
     let config = Config::load().map_err(NodeError::Config)?;
     // Not a LocalSet on a runtime: there each wake of a task from a task costs a write to the event loop's
     // own descriptor and a turn of the loop to read it.
@@ -231,13 +234,3 @@
         tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     runtime.map_err(NodeError::System)?.block_on(run(config))
 }
-
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("yardspur: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/src/bin/yardspur/operator.rs
+++ b/src/node/operator.rs
@@ -3,7 +3,7 @@
 //! Nothing here waits on clients, workers or the counter. Calls run side by side on descriptors kept aside for
 //! them; callers that hold a connection without a whole call make room for others.
 
-use crate::{
+use super::{
     clients::Clients,
     gateway::{ByHandError, Hub},
 };
--- a/src/bin/yardspur/siblings.rs
+++ b/src/node/siblings.rs
@@ -5,7 +5,8 @@
 //! elder. An open connection between two means that both are there; its end, however it came, that the other has
 //! gone. Words are lines of JSON.
 
-use crate::{gateway::Hub, keep};
+use super::{gateway::Hub, keep};
+use oliverack::{Memory, ServerId};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -26,7 +27,6 @@
     task::spawn_local,
     time::{sleep, timeout},
 };
-use weirusher::{Memory, ServerId};
 
 /// Siblings at once; an upgrade takes one.
 const MOST: usize = 4;
@@ -136,7 +136,7 @@
                 // Its process is gone; a failure to tidy up leaves it to the next one.
                 let _ = fs::remove_file(&path);
             }
-            Err(fault) => eprintln!("yardspur: {} is no sibling: {fault}", path.display()),
+            Err(fault) => eprintln!("oliverack: {} is no sibling: {fault}", path.display()),
         }
     }
     let path = folder.join(format!("{name}.{}{ENDING}", process::id()));
@@ -145,7 +145,7 @@
     match UnixListener::bind(&path) {
         Ok(listener) => (met, Some(Door { listener, path })),
         Err(e) => {
-            eprintln!("yardspur: no process can follow this one: {e}");
+            eprintln!("oliverack: no process can follow this one: {e}");
             (met, None)
         }
     }
@@ -191,7 +191,7 @@
             continue;
         }
         if let Err(fault) = answer(&hub, socket).await {
-            eprintln!("yardspur: a caller is no sibling: {fault}");
+            eprintln!("oliverack: a caller is no sibling: {fault}");
         }
     }
 }
@@ -239,7 +239,7 @@
         hub.siblings.known.borrow_mut().remove(&number);
         hub.share();
         if let Err(fault @ (Fault::Malformed(_) | Fault::Foreign)) = end {
-            eprintln!("yardspur: a sibling is left: {fault}");
+            eprintln!("oliverack: a sibling is left: {fault}");
         }
     });
 }
--- a/src/bin/yardspur/workers.rs
+++ b/src/node/workers.rs
@@ -1,6 +1,6 @@
 //! Attempts and probes: connections to the workers, kept and reused, and how each exchange ended.
 
-use crate::{
+use super::{
     http::{MAX_BODY, MAX_WHOLE},
     link::{Begin, Bounds, Failure, Link, Progress},
     list::Listed,
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use fnv::FnvHashMap;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header, http::response::Parts};
+use oliverack::{Lifecycle, Load, ServerId, Status};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -16,7 +17,6 @@
     time::{Duration, Instant},
 };
 use tokio::{sync::mpsc, time::sleep};
-use weirusher::{Lifecycle, Load, ServerId, Status};
 
 /// What goes on to a worker.
 #[derive(Debug)]
@@ -410,5 +410,5 @@
 }
 
 #[cfg(test)]
-#[path = "../../../tests/unit/workers.rs"]
+#[path = "../../tests/unit/workers.rs"]
 mod tests;
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_weirusher-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_oliverack-sim"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weirusher::*;
+use oliverack::*;
 
 fn by_hand(rig: &mut Rig, name: &str, out: bool) {
     rig.event(Event::ByHand { server: name.into(), out });
--- a/tests/ceiling.rs
+++ b/tests/ceiling.rs
@@ -3,8 +3,8 @@
 
 mod common;
 use common::{simulation::*, *};
+use oliverack::*;
 use std::collections::BTreeMap;
-use weirusher::*;
 
 const START: Time = 100.0;
 const SECONDS: f64 = 30.0;
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -3,8 +3,8 @@
 
 mod common;
 use common::*;
+use oliverack::*;
 use std::collections::BTreeMap;
-use weirusher::*;
 
 /// A fleet, its servers and what is asked of them.
 #[derive(Debug, Clone, Copy)]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod simulation;
 
-use weirusher::*;
+use oliverack::*;
 
 pub struct Rig {
     pub gateway: Gateway,
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -588,10 +588,10 @@
 
 pub fn run_as(config: &str, start: Start) -> (Child, PathBuf) {
     let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
-    let name = format!("yardspur-test-{}-{number}.json", std::process::id());
+    let name = format!("oliverack-test-{}-{number}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a writable folder for temporary files");
-    let program = env!("CARGO_BIN_EXE_yardspur");
+    let program = env!("CARGO_BIN_EXE_oliverack");
     let mut command = Command::new(program);
     if let Some(socket) = start.socket {
         // The shell moves what it has as standard input to where the program looks for it.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use oliverack::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use weirusher::*;
 
 fn fleet(n: u32, settings: &Settings, servers: &[Server]) -> Vec<Rig> {
     let rig = |me: u32| {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weirusher::*;
+use oliverack::*;
 
 /// Fires every timer that has come due by `at`, answering calls through `counter`.
 fn pass(rig: &mut Rig, counter: &mut Counter, at: Time) {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -534,7 +534,7 @@
         let _ = std::fs::remove_file(path);
         let said = String::from_utf8(output.stderr).expect("text");
         assert!(!output.status.success() && said.lines().count() == 1, "{config}: {said}");
-        assert!(said.starts_with("yardspur: ") && !said.contains("panicked"), "{said}");
+        assert!(said.starts_with("oliverack: ") && !said.contains("panicked"), "{said}");
     }
 }
 
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -87,9 +87,9 @@
 fn a_descriptor_that_is_no_listening_socket_is_one_plain_line_and_a_failing_exit() {
     let (setup, _discovery) = operated(&[]);
     for fd in ["2", "77", "x", "-1"] {
-        let path = std::env::temp_dir().join(format!("yardspur-fd-{}{fd}.json", std::process::id()));
+        let path = std::env::temp_dir().join(format!("oliverack-fd-{}{fd}.json", std::process::id()));
         std::fs::write(&path, setup.config().to_string()).expect("a writable folder for temporary files");
-        let output = Command::new(env!("CARGO_BIN_EXE_yardspur"))
+        let output = Command::new(env!("CARGO_BIN_EXE_oliverack"))
             .env("NODE_CONFIG", &path)
             .env("NODE_ACCEPT_FD", fd)
             .stdin(Stdio::null())
@@ -106,7 +106,7 @@
 
 impl Folder {
     fn new(name: &str) -> Self {
-        let path = std::env::temp_dir().join(format!("yardspur-{name}-{}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("oliverack-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&path).expect("a writable folder for temporary files");
         Self(path)
     }
@@ -162,7 +162,7 @@
     let node = start();
     (0..20).for_each(|i| assert_eq!(node.ask(&Ask::submit(&format!("a{i}"))).body, b"two"));
     drop(node);
-    let file = folder.0.join("yardspur-n0.out.json");
+    let file = folder.0.join("oliverack-n0.out.json");
     let whole = std::fs::read_to_string(&file).expect("it was kept");
     for text in [&whole[..whole.len() / 2], "", "[]", &whole.replace("n0", "n1"), &whole.replace(":1", ":2")]
     {
@@ -261,8 +261,8 @@
     let (setup, _discovery) = operated(&[&one, &two]);
     let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("both"));
     // A socket that nobody serves any more, and what is none.
-    drop(UnixListener::bind(folder.0.join("yardspur-n0.1.sock")).expect("a folder"));
-    std::fs::write(folder.0.join("yardspur-n0.2.sock"), "").expect("a folder");
+    drop(UnixListener::bind(folder.0.join("oliverack-n0.1.sock")).expect("a folder"));
+    std::fs::write(folder.0.join("oliverack-n0.2.sock"), "").expect("a folder");
     let (old, new) = upgrade(&setup, &socket, &folder);
     assert_eq!(old.call("PUT /workers/w0/maint").status(), 200);
     new.says("by hand: worker w0 out");
@@ -272,7 +272,7 @@
     assert_eq!(new.call("PUT /workers/w0/ready").status(), 200);
     old.says("by hand: worker w0 back");
     assert_eq!(new.call("PUT /workers/w1/maint").status(), 200);
-    std::fs::write(folder.0.join("yardspur-n0.out.json"), "{").expect("a folder");
+    std::fs::write(folder.0.join("oliverack-n0.out.json"), "{").expect("a folder");
     let third = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
     old.says("one of 3");
     assert_eq!(third.call("GET /stats").status(), 200);
@@ -331,7 +331,7 @@
     let folder = Folder::new("foreign");
     let node = setup.start_as(Start { folder: Some(&folder.0), ..Start::default() });
     while node.call("GET /healthcheck").status() != 200 {}
-    let door = folder.0.join(format!("yardspur-n0.{}.sock", node.child.id()));
+    let door = folder.0.join(format!("oliverack-n0.{}.sock", node.child.id()));
     for word in [
         "nonsense\n",
         "{\"Hello\":{\"form\":2,\"node\":\"n0\"}}\n",
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use oliverack::*;
 use std::collections::{BTreeMap, BTreeSet};
-use weirusher::*;
 
 /// A small fixed generator, so that a seed names one sequence for ever.
 struct Dice(u64);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -4,8 +4,8 @@
 
 mod common;
 use common::{simulation::*, *};
+use oliverack::*;
 use std::collections::BTreeMap;
-use weirusher::*;
 
 const SECONDS: f64 = 12.0;
 const STEP: f64 = 0.002;
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -5,11 +5,11 @@
 
 mod common;
 use common::*;
+use oliverack::*;
 use std::{
     collections::{BTreeMap, BTreeSet},
     hash::Hasher,
 };
-use weirusher::*;
 
 /// Events of one day, less those that follow on others.
 const EVENTS: usize = 4000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weirusher::*;
+use oliverack::*;
 
 fn plain(effect: Effect) -> Settings {
     let mut s = settings();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weirusher::*;
+use oliverack::*;
 
 fn refused_settings(change: impl Fn(&mut Settings)) -> SettingsError {
     let mut s = settings();
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use weirusher::*;
+use oliverack::*;
 
 fn quiet(plan: Plan) -> Rig {
     let mut settings = settings();
