--- a/src/node/clients.rs
+++ b/src/node/clients.rs
@@ -2,17 +2,17 @@
 //! holds more than its part.
 
 use super::{
-    figures,
-    gateway::{Answer, Demand, Hub},
+    figures::{self, Figures},
     http::{self, Body, Framing, Head, MAX_WHOLE},
     link,
+    processes::Processes,
     stream::{self, Content, Piece, Pieces, STREAM},
     workers::Forward,
 };
 use bytes::{Bytes, BytesMut};
 use fnv::FnvHashMap;
 use hyper::{HeaderMap, Method, StatusCode, header, header::HeaderValue};
-use oliverack::JobId;
+use oliverack::{JobId, Options};
 use socket2::SockRef;
 use std::{
     cell::{Cell, RefCell},
@@ -72,6 +72,42 @@
 /// seconds to send them, and meanwhile holds neither a worker nor a slot under a cap.
 const MAX_GATHERED: usize = 8 * MAX_WHOLE;
 
+/// The one final answer to a client.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Bytes),
+    /// Served, of this length if it is known, in pieces.
+    Streamed(Option<u64>, Pieces),
+    /// With the advice to stay away for so many seconds; 0: none.
+    Refused(f64),
+    Failed,
+}
+
+/// A request as a client brings it, in the terms of the settings.
+#[derive(Debug)]
+pub struct Demand {
+    pub class: usize,
+    pub plan: usize,
+    pub customer: String,
+    pub units: f64,
+    pub spread: u32,
+    pub first: u32,
+    pub remaining: f64,
+    pub repeat: bool,
+    pub forward: Forward,
+}
+
+/// Takes clients' requests and answers them.
+pub trait RequestHandler {
+    /// Takes a request; its final answer comes by the receiver. `None`: its name is that of one that is open, and so
+    /// another client's.
+    fn take(&self, demand: Demand) -> Option<(JobId, oneshot::Receiver<Answer>)>;
+    /// The request's last byte has come: its time, and that of its attempts, begins.
+    fn came_whole(&self, job: &JobId);
+    /// The client is gone before its answer.
+    fn left(&self, job: &JobId);
+}
+
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -152,8 +188,17 @@
     Say(StatusCode),
 }
 
+/// What the clients' connections stand on.
+pub struct Context {
+    pub handler: Box<dyn RequestHandler>,
+    /// What requests may name.
+    pub options: Options,
+    pub figures: Rc<Figures>,
+    pub processes: Rc<Processes>,
+}
+
 pub struct Clients {
-    hub: Rc<Hub>,
+    context: Context,
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
     budget: usize,
@@ -174,9 +219,9 @@
 
 impl Clients {
     /// `budget` connections at most, and so many bytes of bodies.
-    pub fn new(hub: Rc<Hub>, budget: usize, bodies: usize) -> Rc<Self> {
+    pub fn new(context: Context, budget: usize, bodies: usize) -> Rc<Self> {
         Rc::new(Self {
-            hub,
+            context,
             peers: RefCell::default(),
             numbers: Cell::new(0),
             budget,
@@ -220,7 +265,7 @@
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         self.accepting.set(true);
         loop {
-            if self.full() && self.hub.siblings.followed() {
+            if self.full() && self.context.processes.is_followed() {
                 // The process that has followed this one takes them.
                 let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
                 continue;
@@ -260,7 +305,7 @@
 
     /// This process's part of what all of the gateway's may hold.
     fn share(&self, whole: usize) -> usize {
-        whole / self.hub.siblings.sharing().1 as usize
+        whole / self.context.processes.count() as usize
     }
 
     fn make_room(&self) {
@@ -359,7 +404,7 @@
                 Ok(body) => body,
                 Err(end) => {
                     if let (Ok(demand), End::Say(StatusCode::SERVICE_UNAVAILABLE)) = (&demand, &end) {
-                        self.hub.figures.take(demand.class).end(figures::End::Refused);
+                        self.context.figures.take(demand.class).end(figures::End::Refused);
                     }
                     return end;
                 }
@@ -380,7 +425,7 @@
                     (Reply::plain(status), None)
                 }
                 Ok(demand) => {
-                    let taken = self.hub.figures.take(demand.class);
+                    let taken = self.context.figures.take(demand.class);
                     match exchange.serve(demand, body, head.expects).await {
                         Ok(reply) => (reply, Some(taken)),
                         Err(end) => return end,
@@ -528,7 +573,7 @@
 
     /// Checks a request; the module never sees a bad one.
     fn demand(&self, head: &Head) -> Result<Demand, StatusCode> {
-        let options = &self.hub.config().options;
+        let options = &self.context.options;
         let bad = StatusCode::BAD_REQUEST;
         let lane = text(&head.headers, "x-lane").ok_or(bad)?;
         let class = options.classes.iter().position(|c| c == lane).ok_or(bad)?;
@@ -619,7 +664,7 @@
 impl Exchange<'_, '_> {
     /// Hands the request over and waits for the final answer, passing on a large body meanwhile.
     async fn serve(&mut self, mut demand: Demand, body: Gathered, expects: bool) -> Result<Reply, End> {
-        let hub = &self.clients.hub;
+        let handler = &*self.clients.context.handler;
         let mut upload = None;
         demand.forward.body = match body {
             Gathered::Whole(bytes) => Content::Whole(bytes),
@@ -629,16 +674,16 @@
                 content
             }
         };
-        let Some((job, mut receiver)) = hub.take(demand) else {
+        let Some((job, mut receiver)) = handler.take(demand) else {
             self.rest = upload.map(|u| u.rest);
             return Ok(Reply::plain(StatusCode::CONFLICT));
         };
-        let mut waiting = Waiting { hub, job: &job, answered: false };
+        let mut waiting = Waiting { handler, job: &job, answered: false };
         let mut early = None;
         if let Some(upload) = upload {
             early = self.pass_on(upload, expects, &mut receiver).await?;
             if early.is_none() {
-                hub.came_whole(&job);
+                handler.came_whole(&job);
             }
         }
         self.peer.now(Stage::Busy);
@@ -852,7 +897,7 @@
     rest: Body,
 }
 
-/// The final answer, or that the hub has dropped it.
+/// The final answer, or that the handler has dropped it.
 type Final = Result<Answer, oneshot::error::RecvError>;
 
 /// Waits until the client has closed or reset its connection. The system tells that by itself, so it is seen also
@@ -1006,7 +1051,7 @@
 
 /// A request that waits for its answer; dropped before, its client has gone.
 struct Waiting<'a> {
-    hub: &'a Rc<Hub>,
+    handler: &'a dyn RequestHandler,
     job: &'a JobId,
     answered: bool,
 }
@@ -1014,7 +1059,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.answered {
-            self.hub.left(self.job);
+            self.handler.left(self.job);
         }
     }
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,9 +1,6 @@
 //! What a gateway is told at its start.
 
-use super::{
-    list::{List, Listed},
-    operator,
-};
+use super::list::{List, Listed};
 use oliverack::{Options, OptionsError};
 use serde::Deserialize;
 use serde_json::Value;
@@ -102,6 +99,8 @@
 impl Config {
     /// The fewest descriptors that leave some for clients and workers; operators' calls come on top.
     const LEAST_SOCKETS: usize = 64;
+    /// Descriptors that operators' calls may take.
+    pub const OPERATOR_SOCKETS: usize = 18;
     /// The least memory, in MB, that leaves some beside the program itself, which takes about two.
     pub const LEAST_MEMORY_MB: usize = 16;
 
@@ -133,7 +132,7 @@
             return Err(ConfigError::BadTime(key));
         }
         let operator = file.operator.map_or_else(|| variable("NODE_OPERATOR"), |addr| Ok(Some(addr)))?;
-        let least = Self::LEAST_SOCKETS + operator.map_or(0, |_| operator::SOCKETS);
+        let least = Self::LEAST_SOCKETS + operator.map_or(0, |_| Self::OPERATOR_SOCKETS);
         if file.limits.sockets < least {
             return Err(ConfigError::TooFewSockets(file.limits.sockets, least));
         }
--- a/src/node/counter.rs
+++ b/src/node/counter.rs
@@ -4,7 +4,7 @@
 //! one does not stall the rest; calls for one name that are still waited for stay on one line, as their
 //! answers must come in order.
 
-use super::gateway::Hub;
+use super::events::EventSender;
 use oliverack::{Event, Status};
 use std::{
     cell::{Cell, RefCell},
@@ -124,10 +124,10 @@
     }
 
     /// Connects the first two lines: when one breaks, calls find another that is up.
-    pub fn start(self: &Rc<Self>, hub: &Rc<Hub>) {
+    pub fn start(self: &Rc<Self>, events: &EventSender) {
         for (index, line) in self.lines.borrow_mut().iter_mut().enumerate().take(2) {
             line.started = true;
-            tokio::task::spawn_local(keep(self.clone(), index, hub.clone()));
+            tokio::task::spawn_local(keep(self.clone(), index, events.clone()));
         }
     }
 
@@ -138,9 +138,9 @@
     }
 
     /// Ends every call: no line is left to answer it.
-    pub fn close(&self, hub: &Rc<Hub>) {
+    pub fn close(&self, events: &EventSender) {
         self.retire();
-        (0..LINES).for_each(|index| self.broken(index, ErrorKind::ConnectionAborted, hub));
+        (0..LINES).for_each(|index| self.broken(index, ErrorKind::ConnectionAborted, events));
     }
 
     /// Whether a call is waited for, of any name or of this one.
@@ -149,9 +149,9 @@
         self.lines.borrow().iter().any(|l| l.calls.iter().any(waited))
     }
 
-    /// Begins a call; the event that answers it comes by `hub`. Returns the call's number, to be named to
+    /// Begins a call; the event that answers it comes by `events`. Returns the call's number, to be named to
     /// [`Counter::expire`] when its time is up.
-    pub fn call(self: &Rc<Self>, hub: &Rc<Hub>, name: u64, amount: f64, ttl: f64) -> u64 {
+    pub fn call(self: &Rc<Self>, events: &EventSender, name: u64, amount: f64, ttl: f64) -> u64 {
         let number = self.numbers.get();
         self.numbers.set(number + 1);
         let life = (ttl * 1000.0).round().clamp(1.0, 60_000.0) as u64;
@@ -172,7 +172,7 @@
         line.calls.push_back(call);
         if !line.started {
             line.started = true;
-            tokio::task::spawn_local(keep(self.clone(), chosen, hub.clone()));
+            tokio::task::spawn_local(keep(self.clone(), chosen, events.clone()));
         } else if !line.flush() || line.unwritten() {
             line.wake.notify_one();
         }
@@ -186,7 +186,7 @@
     }
 
     /// A call's time is up. Its answer is still to come and is passed over then.
-    pub fn expire(&self, hub: &Rc<Hub>, number: u64) {
+    pub fn expire(&self, events: &EventSender, number: u64) {
         let mut lines = self.lines.borrow_mut();
         for line in lines.iter_mut() {
             let Some(at) = line.calls.iter().position(|c| c.number == number && c.name.is_some()) else {
@@ -210,13 +210,13 @@
                 Status::Timeout
             };
             drop(lines);
-            report(hub, name, status, 0.0, spent);
+            report(events, name, status, 0.0, spent);
             return;
         }
     }
 
     /// Takes the answer that a line has read; `false`: it fits no call.
-    fn answered(&self, index: usize, answer: &Answer, hub: &Rc<Hub>) -> bool {
+    fn answered(&self, index: usize, answer: &Answer, events: &EventSender) -> bool {
         let Some(call) = self.lines.borrow_mut()[index].calls.pop_front() else { return false };
         let (status, total) = match (answer, call.name) {
             (Answer::Pong, None) => return true,
@@ -228,14 +228,14 @@
             }
         };
         if !call.reported {
-            report(hub, call.name, status, total, call.since.elapsed());
+            report(events, call.name, status, total, call.since.elapsed());
         }
         true
     }
 
     /// The line's connection is gone or never came up: its calls end, each by how far it had been written.
     /// One whose answer was spoilt has run; of the others only silence is a sign of a slow counter.
-    fn broken(&self, index: usize, end: ErrorKind, hub: &Rc<Hub>) {
+    fn broken(&self, index: usize, end: ErrorKind, events: &EventSender) {
         let calls = {
             let line = &mut self.lines.borrow_mut()[index];
             line.socket = None;
@@ -249,7 +249,7 @@
                 ErrorKind::TimedOut => Status::Timeout,
                 _ => Status::Reset,
             };
-            report(hub, call.name, status, 0.0, call.since.elapsed());
+            report(events, call.name, status, 0.0, call.since.elapsed());
         }
     }
 
@@ -269,22 +269,22 @@
     }
 }
 
-fn report(hub: &Rc<Hub>, name: Option<u64>, status: Status, total: f64, spent: Duration) {
+fn report(events: &EventSender, name: Option<u64>, status: Status, total: f64, spent: Duration) {
     if let Some(counter) = name {
-        hub.post(Event::Counted { counter, status, total, spent: spent.as_secs_f64() });
+        events.post(Event::Counted { counter, status, total, spent: spent.as_secs_f64() });
     }
 }
 
 /// Keeps one line connected until the client is retired.
-async fn keep(counter: Rc<Counter>, index: usize, hub: Rc<Hub>) {
+async fn keep(counter: Rc<Counter>, index: usize, events: EventSender) {
     let mut wait = BACKOFF.0;
     loop {
         let end = match tokio::time::timeout(counter.limit * 5, TcpStream::connect(counter.addr)).await {
-            Ok(Ok(socket)) => run(&counter, index, socket, &hub, &mut wait).await,
+            Ok(Ok(socket)) => run(&counter, index, socket, &events, &mut wait).await,
             Ok(Err(e)) => e,
             Err(_) => ErrorKind::TimedOut.into(),
         };
-        counter.broken(index, end.kind(), &hub);
+        counter.broken(index, end.kind(), &events);
         if counter.retired.get() {
             return;
         }
@@ -300,7 +300,7 @@
     counter: &Counter,
     index: usize,
     socket: TcpStream,
-    hub: &Rc<Hub>,
+    events: &EventSender,
     wait: &mut Duration,
 ) -> io::Error {
     if let Err(e) = socket.set_nodelay(true) {
@@ -351,7 +351,7 @@
         while let Some(len) = read[from..].iter().position(|b| *b == b'\n') {
             let said = answer(&read[from..from + len]);
             // What is no answer puts all that follows in doubt: the connection ends, its calls with it.
-            if !said.is_some_and(|said| counter.answered(index, &said, hub)) {
+            if !said.is_some_and(|said| counter.answered(index, &said, events)) {
                 return ErrorKind::InvalidData.into();
             }
             from += len + 1;
--- a/src/node/discovery.rs
+++ b/src/node/discovery.rs
@@ -2,9 +2,8 @@
 //! its price, the module says when, and the watch goes on from the list that is known.
 
 use super::{
-    gateway::Hub,
     link::{Bounds, Link},
-    list::List,
+    list::{List, Listed},
     stream::Outgoing,
     workers::Trace,
 };
@@ -13,7 +12,7 @@
 use oliverack::ListKind;
 use std::{cell::Cell, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
-    sync::watch,
+    sync::{Notify, watch},
     task::yield_now,
     time::{Instant, sleep, timeout, timeout_at},
 };
@@ -60,12 +59,36 @@
     }
 }
 
+/// Takes the lists that discovery tells.
+pub trait ListSink {
+    /// News of the workers.
+    fn list(&self, kind: ListKind, workers: Vec<Listed>);
+    /// Discovery was asked for the list in vain.
+    fn unlisted(&self);
+}
+
+/// How discovery is followed.
+pub struct Discovery {
+    /// The list must be asked for, at the moments that `asked` tells.
+    pub must_ask: bool,
+    /// The version of the list that is known at the start.
+    pub version: u64,
+    /// Longest list that is taken in, in bytes.
+    pub list_bound: usize,
+    /// Names of the zones, by number.
+    pub zones: Vec<String>,
+    /// The module wants the list followed, where that has its price.
+    pub asked: Rc<Notify>,
+    /// Takes the lists.
+    pub sink: Rc<dyn ListSink>,
+}
+
 /// Follows discovery for good, at the address that `place` names at the time. A new one has versions of its
 /// own, so it is asked for the whole list.
-pub async fn follow(mut place: watch::Receiver<SocketAddr>, hub: Rc<Hub>) {
-    let must_ask = hub.config().options.settings.must_ask;
+pub async fn follow(mut place: watch::Receiver<SocketAddr>, discovery: Discovery) {
+    let Discovery { must_ask, version, list_bound, zones, asked, sink } = discovery;
     // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
-    let known = must_ask.then_some(hub.config().version);
+    let known = must_ask.then_some(version);
     let (mut link, mut version, mut wait, mut trouble) = (None, known, BACKOFF.0, None);
     let (mut following, mut at) = (!must_ask, *place.borrow());
     loop {
@@ -74,20 +97,20 @@
         if addr != at {
             (at, link, version, wait) = (addr, None, None, BACKOFF.0);
             if must_ask && following {
-                hub.unlisted();
+                sink.unlisted();
                 following = false;
             }
         }
         if !following {
             tokio::select! {
-                () = hub.asked.notified() => following = true,
+                () = asked.notified() => following = true,
                 Ok(()) = place.changed() => {}
             }
             continue;
         }
         let begun = Trace::default();
         let answer = {
-            let mut call = pin!(call(addr, &mut link, version, hub.config().list_bound(), &begun));
+            let mut call = pin!(call(addr, &mut link, version, list_bound, &begun));
             // A lost branch loses nothing: the call goes on below, and a move stays in `place`.
             tokio::select! {
                 answer = &mut call => Some(answer),
@@ -118,9 +141,9 @@
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
                 let fits = list.full || version.is_some_and(|v| list.version >= v);
                 version = fits.then_some(list.version);
-                let workers = list.workers(&hub.config().options.zones);
+                let workers = list.workers(&zones);
                 if fits && (list.full || recovered || !workers.is_empty()) {
-                    hub.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
+                    sink.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
                 }
                 if fits {
                     continue;
@@ -143,7 +166,7 @@
             }
         };
         if must_ask {
-            hub.unlisted();
+            sink.unlisted();
             following = false;
             continue;
         }
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -2,13 +2,18 @@
 //! carries out the actions. It decides nothing.
 
 use super::{
+    clients::{Answer, Demand, RequestHandler},
     config::Config,
     counter::Counter,
+    discovery::ListSink,
+    events::{EventSender, EventSink},
     figures::Figures,
-    keep::{Keep, KeepError},
+    keep::Keep,
     list::Listed,
-    siblings::Siblings,
-    stream::{self, Content, Piece, Pieces},
+    operator::ByHandError,
+    processes::Processes,
+    siblings::{SiblingHandler, Siblings},
+    stream::{self, Content, Piece},
     workers::{Ending, Forward, Trace, Workers, may_have_run},
 };
 use bytes::Bytes;
@@ -20,7 +25,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, VecDeque},
-    fmt,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -36,49 +40,6 @@
 /// Seconds after a request's end at which it is failed, should the module not have answered.
 const LAST_RESORT: f64 = 0.004;
 
-/// Why operators are told no.
-#[derive(Debug)]
-pub enum ByHandError {
-    /// Nobody has this id.
-    Unknown,
-    /// It holds in this process, but an upgrade would lose it.
-    Unkept(KeepError),
-}
-
-impl fmt::Display for ByHandError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Unknown => f.write_str("no worker has this id"),
-            Self::Unkept(e) => write!(f, "not kept: {e}"),
-        }
-    }
-}
-
-/// The one final answer to a client.
-#[derive(Debug)]
-pub enum Answer {
-    Served(Bytes),
-    /// Served, of this length if it is known, in pieces.
-    Streamed(Option<u64>, Pieces),
-    /// With the advice to stay away for so many seconds; 0: none.
-    Refused(f64),
-    Failed,
-}
-
-/// A request as a client brings it, in the terms of the settings.
-#[derive(Debug)]
-pub struct Demand {
-    pub class: usize,
-    pub plan: usize,
-    pub customer: String,
-    pub units: f64,
-    pub spread: u32,
-    pub first: u32,
-    pub remaining: f64,
-    pub repeat: bool,
-    pub forward: Forward,
-}
-
 struct Attempt {
     server: ServerId,
     sent: Time,
@@ -168,14 +129,15 @@
     timer_order: Cell<u64>,
     earlier: Notify,
     /// The module wants the list followed, where that has its price.
-    pub asked: Notify,
+    pub asked: Rc<Notify>,
     workers: Workers,
     pub figures: Rc<Figures>,
     counter: RefCell<Option<Rc<Counter>>>,
     /// Clients of the counter at addresses that hold no more, while calls are waited for on them.
     retired: RefCell<Vec<Rc<Counter>>>,
     /// Other processes of this gateway.
-    pub siblings: Siblings,
+    pub siblings: Rc<Siblings>,
+    pub processes: Rc<Processes>,
     /// `None`: there are no operators' calls, or no folder.
     keep: Option<Keep>,
 }
@@ -192,6 +154,7 @@
             Duration::from_secs_f64(config.options.connect_timeout),
             figures.dispatches.clone(),
         );
+        let processes = Rc::new(Processes::default());
         // Needed once; later lists make it void.
         let known = std::mem::take(&mut config.known);
         let hub = Rc::new(Self {
@@ -205,12 +168,13 @@
             timers: RefCell::default(),
             timer_order: Cell::new(0),
             earlier: Notify::new(),
-            asked: Notify::new(),
+            asked: Rc::default(),
             workers,
             figures,
             counter: RefCell::new(counter.map(|addr| Counter::new(addr, limit))),
             retired: RefCell::default(),
-            siblings: Siblings::default(),
+            siblings: Siblings::new(&config.name, config.list_bound(), processes.clone()),
+            processes,
             keep: config.operator.and_then(|_| Keep::new(&config.name)),
             config,
         });
@@ -238,7 +202,7 @@
 
     /// So many processes of this gateway are there now: what it may hold is dealt out among them.
     pub fn share(self: &Rc<Self>) {
-        let (place, of) = self.siblings.sharing();
+        let (place, of) = (self.processes.place(), self.processes.count());
         eprintln!("oliverack: one of {of} at work for this gateway");
         self.workers.share(of as usize);
         self.post(Event::Sharing { place, of });
@@ -247,7 +211,7 @@
     /// Connects to the counter before the first call needs it.
     pub fn start_counter(self: &Rc<Self>) {
         if let Some(counter) = &*self.counter.borrow() {
-            counter.start(self);
+            counter.start(&self.sender());
         }
     }
 
@@ -270,7 +234,7 @@
         let surplus = retired.len().saturating_sub(RETIRED);
         let surplus: Vec<_> = retired.drain(..surplus).collect();
         drop(retired);
-        surplus.iter().for_each(|c| c.close(self));
+        surplus.iter().for_each(|c| c.close(&self.sender()));
         self.start_counter();
     }
 
@@ -283,6 +247,10 @@
         old.cloned().or_else(|| self.counter.borrow().clone())
     }
 
+    fn sender(self: &Rc<Self>) -> EventSender {
+        Rc::new(self.clone())
+    }
+
     /// The figures for operators, as they stand.
     pub fn render_figures(&self) -> String {
         let targets = self.gateway.borrow().targets(self.clock.now());
@@ -498,7 +466,7 @@
             Action::Probe { server } => self.probe(server),
             Action::Count { counter, amount, ttl } => match self.counter_for(counter) {
                 Some(client) => {
-                    let number = client.call(self, counter, amount, ttl);
+                    let number = client.call(&self.sender(), counter, amount, ttl);
                     let limit = self.config.options.settings.count_limit;
                     self.set_timer(now + limit, Due::Count(client, number));
                 }
@@ -654,7 +622,7 @@
         match due {
             Due::Module(token) => self.post(Event::Timer { token }),
             Due::Attempt(job, number) => self.stop(&job, number, Status::Timeout),
-            Due::Count(client, number) => client.expire(self, number),
+            Due::Count(client, number) => client.expire(&self.sender(), number),
             Due::DedupEnd(job) => self.wind_up(&job),
             // The module answers before: this is the last resort, so that no client waits for nothing.
             Due::Deadline(job) => {
@@ -692,3 +660,51 @@
         self.workers.sweep();
     }
 }
+
+impl EventSink for Rc<Hub> {
+    fn post(&self, event: Event) {
+        Hub::post(self, event);
+    }
+}
+
+impl ListSink for Rc<Hub> {
+    fn list(&self, kind: ListKind, workers: Vec<Listed>) {
+        Hub::list(self, kind, workers);
+    }
+
+    fn unlisted(&self) {
+        Hub::unlisted(self);
+    }
+}
+
+impl RequestHandler for Rc<Hub> {
+    fn take(&self, demand: Demand) -> Option<(JobId, oneshot::Receiver<Answer>)> {
+        Hub::take(self, demand)
+    }
+
+    fn came_whole(&self, job: &JobId) {
+        Hub::came_whole(self, job);
+    }
+
+    fn left(&self, job: &JobId) {
+        Hub::left(self, job);
+    }
+}
+
+impl SiblingHandler for Rc<Hub> {
+    fn inherit(&self, memory: Memory) {
+        Hub::inherit(self, memory);
+    }
+
+    fn memory(&self) -> Memory {
+        Hub::memory(self)
+    }
+
+    fn heed(&self, server: &ServerId, out: bool) {
+        Hub::heed(self, server, out);
+    }
+
+    fn processes_changed(&self) {
+        self.share();
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod counter;
 mod discovery;
+mod events;
 mod figures;
 mod gateway;
 mod http;
@@ -11,15 +12,17 @@
 mod link;
 mod list;
 mod operator;
+mod processes;
 mod siblings;
 mod stream;
 mod workers;
 
-use clients::Clients;
+use clients::{Clients, Context};
 use config::{Config, ConfigError};
+use discovery::Discovery;
 use gateway::Hub;
 use oliverack::SettingsError;
-use operator::Operators;
+use operator::{ByHandError, Operations, Operators};
 use socket2::SockRef;
 use std::{
     fmt, fs, io,
@@ -98,7 +101,7 @@
     let mut shares = config.sockets - OTHERS;
     let operators = match config.operator {
         Some(addr) => {
-            shares -= operator::SOCKETS + siblings::SOCKETS;
+            shares -= Config::OPERATOR_SOCKETS + siblings::SOCKETS;
             Some(TcpListener::bind(addr).await.map_err(NodeError::Operators)?)
         }
         None => None,
@@ -109,25 +112,44 @@
     let hub = Hub::new(config, to_workers).map_err(NodeError::Settings)?;
     let mut calls = JoinSet::new();
     if operators.is_some() {
-        let (followed, door) = siblings::meet(&hub).await;
+        let handler: siblings::Handler = Rc::new(hub.clone());
+        let (followed, door) = siblings::meet(&hub.siblings, &handler).await;
         if !followed {
             hub.recall();
         }
-        door.into_iter().for_each(|door| drop(calls.spawn_local(siblings::welcome(hub.clone(), door))));
+        if let Some(door) = door {
+            calls.spawn_local(siblings::welcome(hub.siblings.clone(), handler, door));
+        }
     }
     hub.start_counter();
-    let discovery = tokio::task::spawn_local(discovery::follow(places, hub.clone()));
+    let options = &hub.config().options;
+    let following = Discovery {
+        must_ask: options.settings.must_ask,
+        version: hub.config().version,
+        list_bound: hub.config().list_bound(),
+        zones: options.zones.clone(),
+        asked: hub.asked.clone(),
+        sink: Rc::new(hub.clone()),
+    };
+    let discovery = tokio::task::spawn_local(discovery::follow(places, following));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let reloads = tokio::task::spawn_local(reload(hangup, place, hub.clone()));
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
-    let clients = Clients::new(hub.clone(), shares - to_workers, bodies);
+    let context = Context {
+        handler: Box::new(hub.clone()),
+        options: options.clone(),
+        figures: hub.figures.clone(),
+        processes: hub.processes.clone(),
+    };
+    let clients = Clients::new(context, shares - to_workers, bodies);
     let watch = tokio::task::spawn_local(clients.clone().watch());
     eprintln!("oliverack: {name} listens on {bound}");
     if let Some(listener) = operators {
         if let Ok(addr) = listener.local_addr() {
             eprintln!("oliverack: operators call {addr}");
         }
-        calls.spawn_local(Rc::new(Operators { hub: hub.clone(), clients: clients.clone() }).serve(listener));
+        let operations = Box::new(OperatorCalls { hub: hub.clone(), clients: clients.clone() });
+        calls.spawn_local(Rc::new(Operators { operations }).serve(listener));
     }
     tokio::select! {
         () = clients.accept(&listener) => {}
@@ -147,6 +169,26 @@
     Ok(())
 }
 
+/// Operators' calls, carried out.
+struct OperatorCalls {
+    hub: Rc<Hub>,
+    clients: Rc<Clients>,
+}
+
+impl Operations for OperatorCalls {
+    fn is_accepting(&self) -> bool {
+        self.clients.accepting()
+    }
+
+    fn render_figures(&self) -> String {
+        self.hub.render_figures()
+    }
+
+    fn by_hand(&self, id: &str, out: bool) -> Result<(), ByHandError> {
+        self.hub.by_hand(id, out)
+    }
+}
+
 /// Takes over the listening socket that the platform holds. Closing it closes this process's copy only.
 fn inherited(fd: RawFd) -> io::Result<TcpListener> {
     // An error, not a closed descriptor of somebody else's, where the variable names no socket.
@@ -171,7 +213,7 @@
 async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener, kill: Duration) {
     let start = Instant::now();
     clients.stop();
-    let followed = hub.siblings.followed();
+    let followed = hub.processes.is_followed();
     if !followed {
         let _ = timeout_at(start + SERVE_ON, clients.accept(&listener)).await;
     }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -3,10 +3,7 @@
 //! Nothing here waits on clients, workers or the counter. Calls run side by side on descriptors kept aside for
 //! them; callers that hold a connection without a whole call make room for others.
 
-use super::{
-    clients::Clients,
-    gateway::{ByHandError, Hub},
-};
+use super::{config::Config, keep::KeepError};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -18,17 +15,15 @@
 };
 use hyper_util::rt::TokioIo;
 use percent_encoding::percent_decode_str;
-use std::{collections::VecDeque, convert::Infallible, rc::Rc, time::Duration};
+use std::{collections::VecDeque, convert::Infallible, fmt, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::{JoinHandle, spawn_local},
     time::{Instant, sleep, sleep_until, timeout},
 };
 
-/// Calls at once.
-const CALLS: usize = 16;
-/// Descriptors that the operators may take: the calls, one just accepted, the listener.
-pub const SOCKETS: usize = CALLS + 2;
+/// Calls at once: what the descriptors leave beside one just accepted and the listener.
+const CALLS: usize = Config::OPERATOR_SOCKETS - 2;
 /// Longest time for a call, from its connection on to its answer's last byte.
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// At the edge the call held open longest ends, though not before it had so long to be sent.
@@ -40,9 +35,36 @@
 
 type Answer = Response<Full<Bytes>>;
 
+/// Why operators are told no.
+#[derive(Debug)]
+pub enum ByHandError {
+    /// Nobody has this id.
+    Unknown,
+    /// It holds in this process, but an upgrade would lose it.
+    Unkept(KeepError),
+}
+
+impl fmt::Display for ByHandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unknown => f.write_str("no worker has this id"),
+            Self::Unkept(e) => write!(f, "not kept: {e}"),
+        }
+    }
+}
+
+/// What operators may ask.
+pub trait Operations {
+    /// Clients are being taken.
+    fn is_accepting(&self) -> bool;
+    /// The figures as they stand, in Prometheus' text format.
+    fn render_figures(&self) -> String;
+    /// Leaves a worker out, or puts it back.
+    fn by_hand(&self, id: &str, out: bool) -> Result<(), ByHandError>;
+}
+
 pub struct Operators {
-    pub hub: Rc<Hub>,
-    pub clients: Rc<Clients>,
+    pub operations: Box<dyn Operations>,
 }
 
 impl Operators {
@@ -83,7 +105,7 @@
         let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
         let (wanted, answer): (Method, &dyn Fn() -> Answer) = match path.as_slice() {
             ["healthcheck"] => (Method::GET, &|| self.health()),
-            ["stats"] => (Method::GET, &|| say(StatusCode::OK, self.hub.render_figures())),
+            ["stats"] => (Method::GET, &|| say(StatusCode::OK, self.operations.render_figures())),
             ["workers", id, "maint"] => (Method::PUT, &|| self.by_hand(id, true)),
             ["workers", id, "ready"] => (Method::PUT, &|| self.by_hand(id, false)),
             _ => return say(StatusCode::NOT_FOUND, "no such call\n"),
@@ -101,7 +123,7 @@
         let Ok(id) = percent_decode_str(id).decode_utf8() else {
             return say(StatusCode::BAD_REQUEST, "the id is no text\n");
         };
-        match self.hub.by_hand(&id, out) {
+        match self.operations.by_hand(&id, out) {
             Ok(()) => say(StatusCode::OK, if out { "out\n" } else { "back\n" }),
             Err(error @ ByHandError::Unknown) => say(StatusCode::NOT_FOUND, format!("{error}\n")),
             Err(error) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
@@ -109,7 +131,7 @@
     }
 
     fn health(&self) -> Answer {
-        if self.clients.accepting() {
+        if self.operations.is_accepting() {
             say(StatusCode::OK, "ok\n")
         } else {
             say(StatusCode::SERVICE_UNAVAILABLE, "takes no clients\n")
--- a/src/node/siblings.rs
+++ b/src/node/siblings.rs
@@ -5,7 +5,7 @@
 //! elder. An open connection between two means that both are there; its end, however it came, that the other has
 //! gone. Words are lines of JSON.
 
-use super::{gateway::Hub, keep};
+use super::{keep, processes::Processes};
 use oliverack::{Memory, ServerId};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -83,23 +83,40 @@
     words: mpsc::Sender<Word>,
 }
 
+/// What siblings tell each other of, and change in each other.
+pub trait SiblingHandler {
+    /// Takes over what an elder process knows.
+    fn inherit(&self, memory: Memory);
+    /// What a younger process should know.
+    fn memory(&self) -> Memory;
+    /// Operators have told a process beside this one to leave a worker out, or to put it back.
+    fn heed(&self, server: &ServerId, out: bool);
+    /// A sibling has come or gone.
+    fn processes_changed(&self);
+}
+
 /// The live siblings of this process.
-#[derive(Default)]
 pub struct Siblings {
+    /// The node's name: only processes of that name are siblings.
+    node: String,
+    /// Longest word, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    longest: u64,
     known: RefCell<BTreeMap<u64, Sibling>>,
     numbers: Cell<u64>,
+    processes: Rc<Processes>,
 }
 
 impl Siblings {
-    /// Place among the processes of this gateway, the eldest first, and how many there are.
-    pub fn sharing(&self) -> (u32, u32) {
-        let known = self.known.borrow();
-        (known.values().filter(|s| s.elder).count() as u32, 1 + known.len() as u32)
+    /// Those of this node, none so far; how many there are is told by `processes`.
+    pub fn new(node: &str, longest: usize, processes: Rc<Processes>) -> Rc<Self> {
+        let (known, numbers) = (RefCell::default(), Cell::new(0));
+        Rc::new(Self { node: node.to_owned(), longest: longest as u64, known, numbers, processes })
     }
 
-    /// A younger process takes clients, too.
-    pub fn followed(&self) -> bool {
-        self.known.borrow().values().any(|s| !s.elder)
+    fn count(&self) {
+        let known = self.known.borrow();
+        let elder = known.values().filter(|s| s.elder).count() as u32;
+        self.processes.set(elder, known.len() as u32 - elder);
     }
 
     /// Tells all of them that operators have left a worker out, or put it back.
@@ -107,9 +124,13 @@
         let word = || Word::ByHand { server: server.clone(), out };
         // One that takes no words loses its connection, which tells both sides.
         self.known.borrow_mut().retain(|_, sibling| sibling.words.try_send(word()).is_ok());
+        self.count();
     }
 }
 
+/// The handler of what siblings tell.
+pub type Handler = Rc<dyn SiblingHandler>;
+
 /// This process's own socket, taken out of the folder with it.
 pub struct Door {
     listener: UnixListener,
@@ -125,12 +146,11 @@
 
 /// Calls the elder siblings, takes over what they know, and opens the door for younger ones; whether there was an
 /// elder. Without a folder, or one that takes no socket, this process stands alone.
-pub async fn meet(hub: &Rc<Hub>) -> (bool, Option<Door>) {
-    let node = &hub.config().name;
-    let Some((folder, name)) = keep::place(node) else { return (false, None) };
+pub async fn meet(siblings: &Rc<Siblings>, handler: &Handler) -> (bool, Option<Door>) {
+    let Some((folder, name)) = keep::place(&siblings.node) else { return (false, None) };
     let mut met = false;
     for path in doors(&folder, &name) {
-        match call(hub, &path).await {
+        match call(siblings, handler, &path).await {
             Ok(()) => met = true,
             Err(Fault::Socket(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 // Its process is gone; a failure to tidy up leaves it to the next one.
@@ -162,18 +182,18 @@
     entries.flatten().map(|entry| entry.path()).filter(ours).take(MOST).collect()
 }
 
-async fn call(hub: &Rc<Hub>, path: &Path) -> Result<(), Fault> {
+async fn call(siblings: &Rc<Siblings>, handler: &Handler, path: &Path) -> Result<(), Fault> {
     let first = async {
         let socket = UnixStream::connect(path).await.map_err(Fault::Socket)?;
         let (reader, mut writer) = socket.into_split();
-        let mut lines = Lines::new(reader, hub);
-        say(&mut writer, &Word::Hello { form: FORM, node: hub.config().name.clone() }).await?;
+        let mut lines = Lines::new(reader, siblings.longest);
+        say(&mut writer, &Word::Hello { form: FORM, node: siblings.node.clone() }).await?;
         Ok((lines.next().await?, lines, writer))
     };
     match timeout(MEET, first).await.map_err(|_| Fault::Silent)?? {
         (Word::Knows(memory), lines, writer) => {
-            hub.inherit(memory);
-            befriend(hub, true, lines, writer, None);
+            handler.inherit(memory);
+            befriend(siblings, handler, true, lines, writer, None);
             Ok(())
         }
         _ => Err(Fault::Foreign),
@@ -181,47 +201,54 @@
 }
 
 /// Lets younger siblings in, for good.
-pub async fn welcome(hub: Rc<Hub>, door: Door) {
+pub async fn welcome(siblings: Rc<Siblings>, handler: Handler, door: Door) {
     loop {
         let Ok((socket, _)) = door.listener.accept().await else {
             sleep(PAUSE).await;
             continue;
         };
-        if hub.siblings.known.borrow().len() >= MOST {
+        if siblings.known.borrow().len() >= MOST {
             continue;
         }
-        if let Err(fault) = answer(&hub, socket).await {
+        if let Err(fault) = answer(&siblings, &handler, socket).await {
             eprintln!("oliverack: a caller is no sibling: {fault}");
         }
     }
 }
 
-async fn answer(hub: &Rc<Hub>, socket: UnixStream) -> Result<(), Fault> {
+async fn answer(siblings: &Rc<Siblings>, handler: &Handler, socket: UnixStream) -> Result<(), Fault> {
     let (reader, writer) = socket.into_split();
-    let mut lines = Lines::new(reader, hub);
+    let mut lines = Lines::new(reader, siblings.longest);
     match timeout(MEET, lines.next()).await.map_err(|_| Fault::Silent)?? {
-        Word::Hello { form: FORM, node } if node == hub.config().name => {}
+        Word::Hello { form: FORM, node } if node == siblings.node => {}
         _ => return Err(Fault::Foreign),
     }
     // A sibling from here on: what operators say meanwhile goes to it, behind what is known now.
-    befriend(hub, false, lines, writer, Some(Word::Knows(hub.memory())));
+    befriend(siblings, handler, false, lines, writer, Some(Word::Knows(handler.memory())));
     Ok(())
 }
 
 /// Holds a sibling for as long as the connection to it is open.
-fn befriend(hub: &Rc<Hub>, elder: bool, mut lines: Lines, mut writer: OwnedWriteHalf, first: Option<Word>) {
+fn befriend(
+    siblings: &Rc<Siblings>,
+    handler: &Handler,
+    elder: bool,
+    mut lines: Lines,
+    mut writer: OwnedWriteHalf,
+    first: Option<Word>,
+) {
     let (words, mut waiting) = mpsc::channel(WAITING);
-    let siblings = &hub.siblings;
     let number = siblings.numbers.get();
     siblings.numbers.set(number + 1);
     siblings.known.borrow_mut().insert(number, Sibling { elder, words });
-    hub.share();
-    let hub = hub.clone();
+    siblings.count();
+    handler.processes_changed();
+    let (siblings, handler) = (siblings.clone(), handler.clone());
     spawn_local(async move {
         let listen = async {
             loop {
                 match lines.next().await? {
-                    Word::ByHand { server, out } => hub.heed(&server, out),
+                    Word::ByHand { server, out } => handler.heed(&server, out),
                     _ => return Err::<(), _>(Fault::Foreign),
                 }
             }
@@ -236,8 +263,9 @@
             Err::<(), _>(Fault::Silent)
         };
         let end = tokio::select! { end = listen => end, end = speak => end };
-        hub.siblings.known.borrow_mut().remove(&number);
-        hub.share();
+        siblings.known.borrow_mut().remove(&number);
+        siblings.count();
+        handler.processes_changed();
         if let Err(fault @ (Fault::Malformed(_) | Fault::Foreign)) = end {
             eprintln!("oliverack: a sibling is left: {fault}");
         }
@@ -252,13 +280,13 @@
 
 struct Lines {
     reader: BufReader<OwnedReadHalf>,
-    /// Longest word, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    /// Longest word, in bytes.
     most: u64,
 }
 
 impl Lines {
-    fn new(reader: OwnedReadHalf, hub: &Hub) -> Self {
-        Self { reader: BufReader::new(reader), most: hub.config().list_bound() as u64 }
+    fn new(reader: OwnedReadHalf, most: u64) -> Self {
+        Self { reader: BufReader::new(reader), most }
     }
 
     async fn next(&mut self) -> Result<Word, Fault> {
