--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 mod quota_window;
 mod server_state;
 mod server_table;
+mod settings;
 mod thin_flow;
 mod timer_table;
 mod token_bucket;
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,6 +1,6 @@
 //! What a gateway is told at its start.
 
-use super::list::{List, Listed};
+use crate::node::wire::worker_list::{List, Listed};
 use oliverack::{Options, OptionsError};
 use serde::Deserialize;
 use serde_json::Value;
--- a/src/node/counter.rs
+++ b/src/node/connection/counter_client.rs
@@ -4,91 +4,43 @@
 //! one does not stall the rest; calls for one name that are still waited for stay on one line, as their
 //! answers must come in order.
 
-use super::events::EventSender;
+use crate::node::{
+    connection::{
+        counter_line::{Call, Line},
+        events::EventSender,
+    },
+    wire::counter_protocol::{self, CounterAnswer, MAX_LINE},
+};
 use oliverack::{Event, Status};
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
     io::{self, ErrorKind},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
-use tokio::{
-    io::AsyncReadExt,
-    net::{TcpStream, tcp::OwnedWriteHalf},
-    sync::Notify,
-};
+use tokio::{io::AsyncReadExt, net::TcpStream};
 
 /// Lines at most; the counter holds 32 of a gateway.
 pub const LINES: usize = 4;
+/// A line that owes an answer for more than this part of the limit gets no new name while another is free: if
+/// it has gone silent, each call on it is lost.
+const SLOW: u32 = 4;
 /// Between pings, well under the shortest idle time after which the counter closes.
-const PING: Duration = Duration::from_secs(2);
+const PING_INTERVAL: Duration = Duration::from_secs(2);
 /// A line that owes an answer for more than so many of the calls' limits is given up: the counter turns calls
 /// away long before its queue takes that time, so the connection has gone silent, and a new one may do.
 const STUCK: u32 = 4;
-/// A line that owes an answer for more than this part of the limit gets no new name while another is free: if
-/// it has gone silent, each call on it is lost.
-const SLOW: u32 = 4;
-/// First and longest wait between two connections.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+/// First wait between two connections.
+const MIN_BACKOFF: Duration = Duration::from_millis(20);
+/// Longest wait between two connections.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
 /// Least time between two lines of the log about broken connections.
 const COMPLAINTS: Duration = Duration::from_secs(10);
-/// Longest answer line.
-const MAX_LINE: usize = 256;
-
-struct Call {
-    /// The count's name; `None` for a ping.
-    name: Option<u64>,
-    number: u64,
-    since: Instant,
-    text: Vec<u8>,
-    written: usize,
-    reported: bool,
-}
-
-#[derive(Default)]
-struct Line {
-    socket: Option<Rc<OwnedWriteHalf>>,
-    calls: VecDeque<Call>,
-    started: bool,
-    wake: Rc<Notify>,
-}
-
-impl Line {
-    fn overdue(&self, limit: Duration) -> bool {
-        self.calls.front().is_some_and(|c| c.since.elapsed() > limit)
-    }
-
-    /// When it will have owed an answer for `limit`.
-    fn overdue_at(&self, limit: Duration) -> Option<Instant> {
-        self.calls.front().map(|c| c.since + limit)
-    }
-
-    /// Writes what the socket takes; `false`: the connection is broken.
-    fn flush(&mut self) -> bool {
-        let Some(socket) = &self.socket else { return true };
-        for call in self.calls.iter_mut().filter(|c| c.written < c.text.len()) {
-            while call.written < call.text.len() {
-                match socket.try_write(&call.text[call.written..]) {
-                    Ok(n) => call.written += n,
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
-                    Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                    Err(_) => return false,
-                }
-            }
-        }
-        true
-    }
-
-    fn unwritten(&self) -> bool {
-        self.calls.back().is_some_and(|c| c.written < c.text.len())
-    }
-}
 
 /// The client of the counter at one address. When a configuration names another address a new client takes
 /// over, and this one is retired: it answers what it was asked, and no more.
-pub struct Counter {
+pub struct CounterClient {
     pub addr: SocketAddr,
     limit: Duration,
     lines: RefCell<Vec<Line>>,
@@ -98,25 +50,7 @@
     complained: Cell<Option<Instant>>,
 }
 
-/// An answer of the counter.
-enum Answer {
-    Total(f64),
-    NothingAdded,
-    Pong,
-}
-
-fn answer(line: &[u8]) -> Option<Answer> {
-    let text = std::str::from_utf8(line).ok()?.trim_end_matches('\r');
-    match text.split_once(' ') {
-        Some(("ok", total)) => total.parse().ok().filter(|t: &f64| t.is_finite()).map(Answer::Total),
-        Some(("error", _)) => Some(Answer::NothingAdded),
-        None if text == "busy" || text == "error" => Some(Answer::NothingAdded),
-        None if text == "pong" => Some(Answer::Pong),
-        _ => None,
-    }
-}
-
-impl Counter {
+impl CounterClient {
     pub fn new(addr: SocketAddr, limit: Duration) -> Rc<Self> {
         let lines = RefCell::new((0..LINES).map(|_| Line::default()).collect());
         let (numbers, retired, complained) = (Cell::default(), Cell::new(false), Cell::new(None));
@@ -150,12 +84,11 @@
     }
 
     /// Begins a call; the event that answers it comes by `events`. Returns the call's number, to be named to
-    /// [`Counter::expire`] when its time is up.
+    /// [`CounterClient::expire`] when its time is up.
     pub fn call(self: &Rc<Self>, events: &EventSender, name: u64, amount: f64, ttl: f64) -> u64 {
         let number = self.numbers.get();
         self.numbers.set(number + 1);
-        let life = (ttl * 1000.0).round().clamp(1.0, 60_000.0) as u64;
-        let text = format!("bump {name} {amount} {life}\r\n").into_bytes();
+        let text = counter_protocol::call(name, amount, ttl);
         let call =
             Call { name: Some(name), number, since: Instant::now(), text, written: 0, reported: false };
         let mut lines = self.lines.borrow_mut();
@@ -216,12 +149,12 @@
     }
 
     /// Takes the answer that a line has read; `false`: it fits no call.
-    fn answered(&self, index: usize, answer: &Answer, events: &EventSender) -> bool {
+    fn answered(&self, index: usize, answer: &CounterAnswer, events: &EventSender) -> bool {
         let Some(call) = self.lines.borrow_mut()[index].calls.pop_front() else { return false };
         let (status, total) = match (answer, call.name) {
-            (Answer::Pong, None) => return true,
-            (Answer::Total(total), Some(_)) => (Status::Ok, *total),
-            (Answer::NothingAdded, Some(_)) => (Status::Full, 0.0),
+            (CounterAnswer::Pong, None) => return true,
+            (CounterAnswer::Total(total), Some(_)) => (Status::Ok, *total),
+            (CounterAnswer::NothingAdded, Some(_)) => (Status::Full, 0.0),
             _ => {
                 self.lines.borrow_mut()[index].calls.push_front(call);
                 return false;
@@ -263,7 +196,7 @@
 
     fn ping(&self, index: usize) {
         let line = &mut self.lines.borrow_mut()[index];
-        let text = b"ping\r\n".to_vec();
+        let text = counter_protocol::PING.to_vec();
         let since = Instant::now();
         line.calls.push_back(Call { name: None, number: 0, since, text, written: 0, reported: true });
     }
@@ -276,8 +209,8 @@
 }
 
 /// Keeps one line connected until the client is retired.
-async fn keep(counter: Rc<Counter>, index: usize, events: EventSender) {
-    let mut wait = BACKOFF.0;
+async fn keep(counter: Rc<CounterClient>, index: usize, events: EventSender) {
+    let mut wait = MIN_BACKOFF;
     loop {
         let end = match tokio::time::timeout(counter.limit * 5, TcpStream::connect(counter.addr)).await {
             Ok(Ok(socket)) => run(&counter, index, socket, &events, &mut wait).await,
@@ -290,14 +223,14 @@
         }
         counter.complain(&end);
         tokio::time::sleep(wait).await;
-        wait = (wait * 2).min(BACKOFF.1);
+        wait = (wait * 2).min(MAX_BACKOFF);
         // What was called meanwhile is still unwritten and goes out with the new connection, or expires.
     }
 }
 
 /// Writes and reads on one connection until it ends; returns why it did.
 async fn run(
-    counter: &Counter,
+    counter: &CounterClient,
     index: usize,
     socket: TcpStream,
     events: &EventSender,
@@ -314,7 +247,7 @@
         line.wake.clone()
     };
     let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
-    let mut ping = tokio::time::interval(PING);
+    let mut ping = tokio::time::interval(PING_INTERVAL);
     // After a stall of this process one is enough.
     ping.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -349,13 +282,13 @@
         }
         let mut from = 0;
         while let Some(len) = read[from..].iter().position(|b| *b == b'\n') {
-            let said = answer(&read[from..from + len]);
+            let said = counter_protocol::parse(&read[from..from + len]);
             // What is no answer puts all that follows in doubt: the connection ends, its calls with it.
             if !said.is_some_and(|said| counter.answered(index, &said, events)) {
                 return ErrorKind::InvalidData.into();
             }
             from += len + 1;
-            *wait = BACKOFF.0;
+            *wait = MIN_BACKOFF;
         }
         read.drain(..from);
         if read.len() > MAX_LINE {
@@ -363,7 +296,3 @@
         }
     }
 }
-
-#[cfg(test)]
-#[path = "../../tests/unit/counter.rs"]
-mod tests;
--- a/src/node/discovery.rs
+++ b/src/node/connection/discovery.rs
@@ -1,11 +1,12 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt. Where beginning a watch has
 //! its price, the module says when, and the watch goes on from the list that is known.
 
-use super::{
-    link::{Bounds, Link},
-    list::{List, Listed},
-    stream::Outgoing,
-    workers::Trace,
+use crate::node::{
+    connection::{answer_body::Bounds, http_client::HttpClient, write_progress::Trace},
+    wire::{
+        stream::Outgoing,
+        worker_list::{List, Listed},
+    },
 };
 use bytes::Bytes;
 use hyper::{Request, StatusCode, Uri, header, http::response::Parts};
@@ -28,9 +29,11 @@
 const FIRST: Duration = Duration::from_millis(2500);
 /// How much of that a connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(1500);
-/// First and longest wait after a failed call: what the agent learns at its return counts as told at once, and the
+/// The first wait after a failed call: what the agent learns at its return counts as told at once, and the
 /// grace after that is half a second.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+/// The longest.
+const MAX_BACKOFF: Duration = Duration::from_millis(200);
 /// After a move, how long an answer of the old address that has begun may take to its end: what was written counts
 /// as told. That address closes its connections by then.
 const LAST_WORD: Duration = Duration::from_millis(1500);
@@ -89,13 +92,13 @@
     let Discovery { must_ask, version, list_bound, zones, asked, sink } = discovery;
     // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
     let known = must_ask.then_some(version);
-    let (mut link, mut version, mut wait, mut trouble) = (None, known, BACKOFF.0, None);
+    let (mut link, mut version, mut wait, mut trouble) = (None, known, MIN_BACKOFF, None);
     let (mut following, mut at) = (!must_ask, *place.borrow());
     loop {
         // Here for every move, also one that comes between an answer and the next call.
         let addr = *place.borrow_and_update();
         if addr != at {
-            (at, link, version, wait) = (addr, None, None, BACKOFF.0);
+            (at, link, version, wait) = (addr, None, None, MIN_BACKOFF);
             if must_ask && following {
                 sink.unlisted();
                 following = false;
@@ -137,7 +140,7 @@
                 if recovered {
                     eprintln!("oliverack: discovery answers again");
                 }
-                wait = BACKOFF.0;
+                wait = MIN_BACKOFF;
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
                 let fits = list.full || version.is_some_and(|v| list.version >= v);
                 version = fits.then_some(list.version);
@@ -148,7 +151,7 @@
                 if fits {
                     continue;
                 }
-                BACKOFF.0
+                MIN_BACKOFF
             }
             Err(fault) => {
                 // One line for each kind of fault in a row, not one a call.
@@ -161,7 +164,7 @@
                     version = None;
                 }
                 let pause = wait;
-                wait = (wait * 2).min(BACKOFF.1);
+                wait = (wait * 2).min(MAX_BACKOFF);
                 pause
             }
         };
@@ -181,7 +184,7 @@
 /// answered at once. It has one clock for all its stages.
 async fn call(
     addr: SocketAddr,
-    kept: &mut Option<Link>,
+    kept: &mut Option<HttpClient>,
     version: Option<u64>,
     most: usize,
     begun: &Trace,
@@ -192,7 +195,7 @@
     let limit = Instant::now() + span;
     let mut link = match kept_on {
         Some(link) => link,
-        None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
+        None => HttpClient::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
     };
     *begun.borrow_mut() = Some(link.progress());
     let path = match version {
--- a/src/node/operator.rs
+++ b/src/node/connection/operators.rs
@@ -3,7 +3,7 @@
 //! Nothing here waits on clients, workers or the counter. Calls run side by side on descriptors kept aside for
 //! them; callers that hold a connection without a whole call make room for others.
 
-use super::{config::Config, keep::KeepError};
+use crate::node::{config::Config, left_out_file::LeftOutFileError};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -37,18 +37,18 @@
 
 /// Why operators are told no.
 #[derive(Debug)]
-pub enum ByHandError {
+pub enum LeaveOutError {
     /// Nobody has this id.
-    Unknown,
+    UnknownWorker,
     /// It holds in this process, but an upgrade would lose it.
-    Unkept(KeepError),
+    NotKept(LeftOutFileError),
 }
 
-impl fmt::Display for ByHandError {
+impl fmt::Display for LeaveOutError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unknown => f.write_str("no worker has this id"),
-            Self::Unkept(e) => write!(f, "not kept: {e}"),
+            Self::UnknownWorker => f.write_str("no worker has this id"),
+            Self::NotKept(e) => write!(f, "not kept: {e}"),
         }
     }
 }
@@ -57,10 +57,10 @@
 pub trait Operations {
     /// Clients are being taken.
     fn is_accepting(&self) -> bool;
-    /// The figures as they stand, in Prometheus' text format.
-    fn render_figures(&self) -> String;
+    /// The metrics as they stand, in Prometheus' text format.
+    fn render_metrics(&self) -> String;
     /// Leaves a worker out, or puts it back.
-    fn by_hand(&self, id: &str, out: bool) -> Result<(), ByHandError>;
+    fn leave_out(&self, id: &str, out: bool) -> Result<(), LeaveOutError>;
 }
 
 pub struct Operators {
@@ -105,9 +105,9 @@
         let path: Vec<&str> = request.uri().path().split('/').skip(1).collect();
         let (wanted, answer): (Method, &dyn Fn() -> Answer) = match path.as_slice() {
             ["healthcheck"] => (Method::GET, &|| self.health()),
-            ["stats"] => (Method::GET, &|| say(StatusCode::OK, self.operations.render_figures())),
-            ["workers", id, "maint"] => (Method::PUT, &|| self.by_hand(id, true)),
-            ["workers", id, "ready"] => (Method::PUT, &|| self.by_hand(id, false)),
+            ["stats"] => (Method::GET, &|| say(StatusCode::OK, self.operations.render_metrics())),
+            ["workers", id, "maint"] => (Method::PUT, &|| self.leave_out(id, true)),
+            ["workers", id, "ready"] => (Method::PUT, &|| self.leave_out(id, false)),
             _ => return say(StatusCode::NOT_FOUND, "no such call\n"),
         };
         if *request.method() == wanted {
@@ -119,13 +119,13 @@
         no
     }
 
-    fn by_hand(&self, id: &str, out: bool) -> Answer {
+    fn leave_out(&self, id: &str, out: bool) -> Answer {
         let Ok(id) = percent_decode_str(id).decode_utf8() else {
             return say(StatusCode::BAD_REQUEST, "the id is no text\n");
         };
-        match self.operations.by_hand(&id, out) {
+        match self.operations.leave_out(&id, out) {
             Ok(()) => say(StatusCode::OK, if out { "out\n" } else { "back\n" }),
-            Err(error @ ByHandError::Unknown) => say(StatusCode::NOT_FOUND, format!("{error}\n")),
+            Err(error @ LeaveOutError::UnknownWorker) => say(StatusCode::NOT_FOUND, format!("{error}\n")),
             Err(error) => say(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
         }
     }
--- a/src/node/siblings.rs
+++ b/src/node/connection/siblings.rs
@@ -3,9 +3,9 @@
 //!
 //! Each listens on a socket of its own. A new one calls all that it finds there, so the younger always calls the
 //! elder. An open connection between two means that both are there; its end, however it came, that the other has
-//! gone. Words are lines of JSON.
+//! gone. Messages are lines of JSON.
 
-use super::{keep, processes::Processes};
+use crate::node::{left_out_file, processes::Processes};
 use oliverack::{Memory, ServerId};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -36,21 +36,21 @@
 const MEET: Duration = Duration::from_millis(500);
 /// Pause after a failure to accept.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Words that may wait for a sibling; one that takes none is as good as gone.
+/// Messages that may wait for a sibling; one that takes none is as good as gone.
 const WAITING: usize = 64;
-/// The words' form; a process that speaks another one is not talked to.
+/// The messages' form; a process that speaks another one is not talked to.
 const FORM: u32 = 1;
 /// The ending of the sockets' names.
 const ENDING: &str = ".sock";
 
 #[derive(Debug, Serialize, Deserialize)]
-enum Word {
-    /// The younger's first word.
+enum Message {
+    /// The younger's first message.
     Hello {
         form: u32,
         node: String,
     },
-    /// The elder's first word.
+    /// The elder's first message.
     Knows(Memory),
     ByHand {
         server: ServerId,
@@ -63,7 +63,7 @@
     Socket(io::Error),
     Silent,
     Malformed(serde_json::Error),
-    /// A word that does not belong there, in another form, for another node, or too long.
+    /// A message that does not belong there, in another form, for another node, or too long.
     Foreign,
 }
 
@@ -71,16 +71,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Socket(e) => e.fmt(f),
-            Self::Silent => f.write_str("no word in time"),
-            Self::Malformed(e) => write!(f, "a malformed word: {e}"),
-            Self::Foreign => f.write_str("a word that does not belong here"),
+            Self::Silent => f.write_str("no message in time"),
+            Self::Malformed(e) => write!(f, "a malformed message: {e}"),
+            Self::Foreign => f.write_str("a message that does not belong here"),
         }
     }
 }
 
 struct Sibling {
     elder: bool,
-    words: mpsc::Sender<Word>,
+    messages: mpsc::Sender<Message>,
 }
 
 /// What siblings tell each other of, and change in each other.
@@ -90,7 +90,7 @@
     /// What a younger process should know.
     fn memory(&self) -> Memory;
     /// Operators have told a process beside this one to leave a worker out, or to put it back.
-    fn heed(&self, server: &ServerId, out: bool);
+    fn leave_out(&self, server: &ServerId, out: bool);
     /// A sibling has come or gone.
     fn processes_changed(&self);
 }
@@ -99,7 +99,7 @@
 pub struct Siblings {
     /// The node's name: only processes of that name are siblings.
     node: String,
-    /// Longest word, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    /// Longest message, in bytes: what is known of a worker is no longer than its entry in an indented list.
     longest: u64,
     known: RefCell<BTreeMap<u64, Sibling>>,
     numbers: Cell<u64>,
@@ -121,9 +121,9 @@
 
     /// Tells all of them that operators have left a worker out, or put it back.
     pub fn tell(&self, server: &ServerId, out: bool) {
-        let word = || Word::ByHand { server: server.clone(), out };
-        // One that takes no words loses its connection, which tells both sides.
-        self.known.borrow_mut().retain(|_, sibling| sibling.words.try_send(word()).is_ok());
+        let message = || Message::ByHand { server: server.clone(), out };
+        // One that takes no messages loses its connection, which tells both sides.
+        self.known.borrow_mut().retain(|_, sibling| sibling.messages.try_send(message()).is_ok());
         self.count();
     }
 }
@@ -132,24 +132,24 @@
 pub type Handler = Rc<dyn SiblingHandler>;
 
 /// This process's own socket, taken out of the folder with it.
-pub struct Door {
-    listener: UnixListener,
+pub struct SiblingListener {
+    socket: UnixListener,
     path: PathBuf,
 }
 
-impl Drop for Door {
+impl Drop for SiblingListener {
     fn drop(&mut self) {
         // One that stays is found dead by the next process, which removes it.
         let _ = fs::remove_file(&self.path);
     }
 }
 
-/// Calls the elder siblings, takes over what they know, and opens the door for younger ones; whether there was an
+/// Calls the elder siblings, takes over what they know, and listens for younger ones; whether there was an
 /// elder. Without a folder, or one that takes no socket, this process stands alone.
-pub async fn meet(siblings: &Rc<Siblings>, handler: &Handler) -> (bool, Option<Door>) {
-    let Some((folder, name)) = keep::place(&siblings.node) else { return (false, None) };
+pub async fn meet(siblings: &Rc<Siblings>, handler: &Handler) -> (bool, Option<SiblingListener>) {
+    let Some((folder, name)) = left_out_file::place(&siblings.node) else { return (false, None) };
     let mut met = false;
-    for path in doors(&folder, &name) {
+    for path in sockets(&folder, &name) {
         match call(siblings, handler, &path).await {
             Ok(()) => met = true,
             Err(Fault::Socket(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
@@ -163,7 +163,7 @@
     // Of a process that had this number before.
     let _ = fs::remove_file(&path);
     match UnixListener::bind(&path) {
-        Ok(listener) => (met, Some(Door { listener, path })),
+        Ok(socket) => (met, Some(SiblingListener { socket, path })),
         Err(e) => {
             eprintln!("oliverack: no process can follow this one: {e}");
             (met, None)
@@ -172,7 +172,7 @@
 }
 
 /// The sockets of this node's processes, as far as they may be siblings.
-fn doors(folder: &Path, name: &str) -> Vec<PathBuf> {
+fn sockets(folder: &Path, name: &str) -> Vec<PathBuf> {
     let Ok(entries) = fs::read_dir(folder) else { return Vec::new() };
     let ours = |path: &PathBuf| {
         let file = path.file_name().and_then(|n| n.to_str());
@@ -187,13 +187,13 @@
         let socket = UnixStream::connect(path).await.map_err(Fault::Socket)?;
         let (reader, mut writer) = socket.into_split();
         let mut lines = Lines::new(reader, siblings.longest);
-        say(&mut writer, &Word::Hello { form: FORM, node: siblings.node.clone() }).await?;
+        write(&mut writer, &Message::Hello { form: FORM, node: siblings.node.clone() }).await?;
         Ok((lines.next().await?, lines, writer))
     };
     match timeout(MEET, first).await.map_err(|_| Fault::Silent)?? {
-        (Word::Knows(memory), lines, writer) => {
+        (Message::Knows(memory), lines, writer) => {
             handler.inherit(memory);
-            befriend(siblings, handler, true, lines, writer, None);
+            join(siblings, handler, true, lines, writer, None);
             Ok(())
         }
         _ => Err(Fault::Foreign),
@@ -201,9 +201,9 @@
 }
 
 /// Lets younger siblings in, for good.
-pub async fn welcome(siblings: Rc<Siblings>, handler: Handler, door: Door) {
+pub async fn welcome(siblings: Rc<Siblings>, handler: Handler, listener: SiblingListener) {
     loop {
-        let Ok((socket, _)) = door.listener.accept().await else {
+        let Ok((socket, _)) = listener.socket.accept().await else {
             sleep(PAUSE).await;
             continue;
         };
@@ -220,27 +220,27 @@
     let (reader, writer) = socket.into_split();
     let mut lines = Lines::new(reader, siblings.longest);
     match timeout(MEET, lines.next()).await.map_err(|_| Fault::Silent)?? {
-        Word::Hello { form: FORM, node } if node == siblings.node => {}
+        Message::Hello { form: FORM, node } if node == siblings.node => {}
         _ => return Err(Fault::Foreign),
     }
     // A sibling from here on: what operators say meanwhile goes to it, behind what is known now.
-    befriend(siblings, handler, false, lines, writer, Some(Word::Knows(handler.memory())));
+    join(siblings, handler, false, lines, writer, Some(Message::Knows(handler.memory())));
     Ok(())
 }
 
 /// Holds a sibling for as long as the connection to it is open.
-fn befriend(
+fn join(
     siblings: &Rc<Siblings>,
     handler: &Handler,
     elder: bool,
     mut lines: Lines,
     mut writer: OwnedWriteHalf,
-    first: Option<Word>,
+    first: Option<Message>,
 ) {
-    let (words, mut waiting) = mpsc::channel(WAITING);
+    let (messages, mut waiting) = mpsc::channel(WAITING);
     let number = siblings.numbers.get();
     siblings.numbers.set(number + 1);
-    siblings.known.borrow_mut().insert(number, Sibling { elder, words });
+    siblings.known.borrow_mut().insert(number, Sibling { elder, messages });
     siblings.count();
     handler.processes_changed();
     let (siblings, handler) = (siblings.clone(), handler.clone());
@@ -248,17 +248,17 @@
         let listen = async {
             loop {
                 match lines.next().await? {
-                    Word::ByHand { server, out } => handler.heed(&server, out),
+                    Message::ByHand { server, out } => handler.leave_out(&server, out),
                     _ => return Err::<(), _>(Fault::Foreign),
                 }
             }
         };
         let speak = async {
-            if let Some(word) = first {
-                say(&mut writer, &word).await?;
+            if let Some(message) = first {
+                write(&mut writer, &message).await?;
             }
-            while let Some(word) = waiting.recv().await {
-                say(&mut writer, &word).await?;
+            while let Some(message) = waiting.recv().await {
+                write(&mut writer, &message).await?;
             }
             Err::<(), _>(Fault::Silent)
         };
@@ -272,15 +272,15 @@
     });
 }
 
-async fn say(writer: &mut OwnedWriteHalf, word: &Word) -> Result<(), Fault> {
-    let mut line = serde_json::to_vec(word).map_err(Fault::Malformed)?;
+async fn write(writer: &mut OwnedWriteHalf, message: &Message) -> Result<(), Fault> {
+    let mut line = serde_json::to_vec(message).map_err(Fault::Malformed)?;
     line.push(b'\n');
     writer.write_all(&line).await.map_err(Fault::Socket)
 }
 
 struct Lines {
     reader: BufReader<OwnedReadHalf>,
-    /// Longest word, in bytes.
+    /// Longest message, in bytes.
     most: u64,
 }
 
@@ -289,7 +289,7 @@
         Self { reader: BufReader::new(reader), most }
     }
 
-    async fn next(&mut self) -> Result<Word, Fault> {
+    async fn next(&mut self) -> Result<Message, Fault> {
         let mut line = Vec::new();
         (&mut self.reader).take(self.most).read_until(b'\n', &mut line).await.map_err(Fault::Socket)?;
         match line.last() {
--- a/src/node/keep.rs
+++ b/src/node/left_out_file.rs
@@ -19,7 +19,7 @@
 }
 
 #[derive(Debug)]
-pub enum KeepError {
+pub enum LeftOutFileError {
     File(io::Error),
     /// Torn, or in no form that is known.
     Malformed(serde_json::Error),
@@ -27,7 +27,7 @@
     Foreign,
 }
 
-impl fmt::Display for KeepError {
+impl fmt::Display for LeftOutFileError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::File(e) => write!(f, "the file of workers left out: {e}"),
@@ -48,39 +48,39 @@
 }
 
 /// Where the workers left out are kept.
-pub struct Keep {
+pub struct LeftOutFile {
     node: String,
     path: PathBuf,
 }
 
-impl Keep {
+impl LeftOutFile {
     pub fn new(node: &str) -> Option<Self> {
         let (folder, name) = place(node)?;
         Some(Self { node: node.to_owned(), path: folder.join(name + ".out.json") })
     }
 
     /// What was kept last; nothing without a file.
-    pub fn load(&self) -> Result<Vec<ServerId>, KeepError> {
+    pub fn load(&self) -> Result<Vec<ServerId>, LeftOutFileError> {
         match fs::metadata(&self.path) {
             Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
-            Err(e) => return Err(KeepError::File(e)),
-            Ok(file) if file.len() > MOST => return Err(KeepError::Foreign),
+            Err(e) => return Err(LeftOutFileError::File(e)),
+            Ok(file) if file.len() > MOST => return Err(LeftOutFileError::Foreign),
             Ok(_) => {}
         }
-        let text = fs::read(&self.path).map_err(KeepError::File)?;
-        let file: File = serde_json::from_slice(&text).map_err(KeepError::Malformed)?;
+        let text = fs::read(&self.path).map_err(LeftOutFileError::File)?;
+        let file: File = serde_json::from_slice(&text).map_err(LeftOutFileError::Malformed)?;
         if file.form != FORM || file.node != self.node {
-            return Err(KeepError::Foreign);
+            return Err(LeftOutFileError::Foreign);
         }
         Ok(file.out.iter().map(|id| id.as_str().into()).collect())
     }
 
     /// Keeps these. The file is replaced whole, so that nobody reads half of it.
-    pub fn store<'a>(&self, out: impl Iterator<Item = &'a ServerId>) -> Result<(), KeepError> {
+    pub fn store<'a>(&self, out: impl Iterator<Item = &'a ServerId>) -> Result<(), LeftOutFileError> {
         let out = out.map(|id| id.as_ref().to_owned()).collect();
         let file = File { form: FORM, node: self.node.clone(), out };
-        let text = serde_json::to_vec(&file).map_err(KeepError::Malformed)?;
+        let text = serde_json::to_vec(&file).map_err(LeftOutFileError::Malformed)?;
         let new = self.path.with_extension(format!("{}.new", process::id()));
-        fs::write(&new, text).and_then(|()| fs::rename(&new, &self.path)).map_err(KeepError::File)
+        fs::write(&new, text).and_then(|()| fs::rename(&new, &self.path)).map_err(LeftOutFileError::File)
     }
 }
--- a/src/node/figures.rs
+++ b/src/node/metrics.rs
@@ -5,14 +5,14 @@
 
 /// How a request ended, as its client saw it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
+pub enum Outcome {
     Served,
     Refused,
     Failed,
 }
 
 /// The counts, from 0 at the start of the process.
-pub struct Figures {
+pub struct Metrics {
     /// By class, the requests served, refused and failed.
     ends: Vec<[Cell<u64>; 3]>,
     concurrent: Cell<u64>,
@@ -20,7 +20,7 @@
     pub dispatches: Rc<Cell<u64>>,
 }
 
-impl Figures {
+impl Metrics {
     pub fn new(classes: usize) -> Rc<Self> {
         let ends = (0..classes).map(|_| Default::default()).collect();
         Rc::new(Self { ends, concurrent: Cell::new(0), dispatches: Rc::default() })
@@ -29,10 +29,10 @@
     /// A request of this class has been taken.
     pub fn take(self: &Rc<Self>, class: usize) -> Taken {
         self.concurrent.set(self.concurrent.get() + 1);
-        Taken { figures: self.clone(), class }
+        Taken { metrics: self.clone(), class }
     }
 
-    /// The figures in Prometheus' text format.
+    /// The metrics in Prometheus' text format.
     pub fn render(&self, classes: &[String], targets: Targets) -> String {
         let mut text = String::with_capacity(1024);
         let names = ["success", "overload", "error"];
@@ -61,23 +61,23 @@
 
 /// A request that has been taken and has not ended. Dropped without an end, its client has gone.
 pub struct Taken {
-    figures: Rc<Figures>,
+    metrics: Rc<Metrics>,
     class: usize,
 }
 
 impl Taken {
-    pub fn end(self, end: End) {
-        let count = self.figures.ends.get(self.class).map(|ends| &ends[end as usize]);
+    pub fn end(self, outcome: Outcome) {
+        let count = self.metrics.ends.get(self.class).map(|ends| &ends[outcome as usize]);
         count.into_iter().for_each(|count| count.set(count.get() + 1));
     }
 }
 
 impl Drop for Taken {
     fn drop(&mut self) {
-        self.figures.concurrent.set(self.figures.concurrent.get() - 1);
+        self.metrics.concurrent.set(self.metrics.concurrent.get() - 1);
     }
 }
 
 #[cfg(test)]
-#[path = "../../tests/unit/figures.rs"]
+#[path = "../../tests/unit/metrics.rs"]
 mod tests;
--- /dev/null
+++ b/src/node/runtime/requests.rs
@@ -0,0 +1,139 @@
+//! Carries requests from their clients to their final answers.
+
+use crate::node::{
+    connection::clients::{FinalAnswer, RequestHandler},
+    runtime::{driver::Driver, open_requests::OpenRequest, timers::TimerPurpose},
+    wire::{client_request::ClientRequest, stream::Content},
+};
+use oliverack::{Event, JobId, Request, Status};
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+/// Seconds after a request's end at which it is failed, should the policy not have answered.
+const LAST_RESORT: f64 = 0.004;
+
+impl Driver {
+    /// How many requests wait for their answer.
+    pub fn waiting_requests(&self) -> usize {
+        self.open.borrow().values().filter(|open| open.is_waiting()).count()
+    }
+
+    /// Gives every request in hand its final answer: the process is about to be killed.
+    pub fn fail_all(self: &Rc<Self>) {
+        let jobs: Vec<JobId> = self.open.borrow().keys().cloned().collect();
+        for job in jobs {
+            self.fail(&job);
+            self.post(Event::Left { job });
+        }
+    }
+
+    /// The policy answers before: this is the last resort, so that no client waits for nothing.
+    pub(super) fn fail_at_deadline(self: &Rc<Self>, job: JobId) {
+        let waits = self.open.borrow().get(&job).is_some_and(OpenRequest::is_waiting);
+        if waits {
+            self.fail(&job);
+            self.post(Event::Left { job });
+        }
+    }
+
+    pub(super) fn refuse(self: &Rc<Self>, job: &JobId, retry_after: f64) {
+        self.answer(job, FinalAnswer::Refused { retry_after });
+    }
+
+    pub(super) fn fail(self: &Rc<Self>, job: &JobId) {
+        self.answer(job, FinalAnswer::Failed);
+    }
+
+    fn answer(self: &Rc<Self>, job: &JobId, answer: FinalAnswer) {
+        let sender = self.open.borrow_mut().get_mut(job).and_then(|open| open.answer.take());
+        if let Some(sender) = sender {
+            // A receiver that is gone belongs to a client that is gone, and says so itself.
+            let _ = sender.send(answer);
+            self.wind_up(job);
+        }
+    }
+
+    /// Whether an attempt of a request may begin its work: its client waits, and the servers would know a repeat.
+    pub(super) fn may_begin(&self, job: &JobId) -> bool {
+        let open = self.open.borrow();
+        open.get(job).is_some_and(|open| open.is_waiting() && self.clock.now() < open.dedup_until)
+    }
+
+    /// Winds up a request that is answered, whose client has left, or which the servers may have forgotten. An
+    /// attempt that still waits for its connection, or is half written, must not begin its work now: it is
+    /// stopped. Without attempts out an answered request is dropped.
+    pub(super) fn wind_up(self: &Rc<Self>, job: &JobId) {
+        let unsent = if self.may_begin(job) {
+            Vec::new()
+        } else {
+            self.open.borrow().get(job).map(OpenRequest::unsent_attempts).unwrap_or_default()
+        };
+        unsent.into_iter().for_each(|number| self.stop(job, number, Status::Cancelled));
+        let mut table = self.open.borrow_mut();
+        if !table.get(job).is_some_and(OpenRequest::is_done) {
+            return;
+        }
+        let open = table.remove(job);
+        drop(table);
+        if let Some(open) = open {
+            open.deadline.into_iter().for_each(|timer| self.timers.cancel(timer));
+            self.transactions.borrow_mut().remove(&open.upstream.txn);
+        }
+    }
+}
+
+impl RequestHandler for Rc<Driver> {
+    fn accept(&self, request: ClientRequest) -> Option<(JobId, oneshot::Receiver<FinalAnswer>)> {
+        if !self.transactions.borrow_mut().insert(request.upstream.txn.clone()) {
+            return None;
+        }
+        self.last_job.set(self.last_job.get() + 1);
+        let job: JobId = self.last_job.get().to_string().into();
+        let expires = self.clock.now() + request.remaining;
+        let (answer, receiver) = oneshot::channel();
+        let upstream = Rc::new(request.upstream);
+        let open = OpenRequest::new(answer, upstream.clone(), request.remaining);
+        self.open.borrow_mut().insert(job.clone(), open);
+        if matches!(upstream.body, Content::Whole(_)) {
+            self.received_whole(&job);
+        }
+        self.post(Event::Request(Request {
+            job: job.clone(),
+            units: request.units,
+            expires,
+            plan: request.plan,
+            spread: request.spread,
+            first: request.first,
+            class: request.class,
+            customer: request.customer.into(),
+            repeat: request.repeat,
+        }));
+        Some((job, receiver))
+    }
+
+    fn received_whole(&self, job: &JobId) {
+        let mut table = self.open.borrow_mut();
+        let Some(open) = table.get_mut(job).filter(|open| open.expires.is_none()) else { return };
+        let now = self.clock.now();
+        let expires = now + open.remaining;
+        open.expires = Some(expires);
+        // After the time-outs that are cut to the same moment: the policy's own answer comes first.
+        let deadline = TimerPurpose::Deadline(job.clone());
+        open.deadline = Some(self.timers.set(expires + LAST_RESORT, deadline));
+        for (number, attempt) in (0..).zip(&mut open.attempts) {
+            if let Some(attempt) = attempt.as_mut().filter(|attempt| attempt.begun.is_none()) {
+                attempt.sent = now;
+                let purpose = TimerPurpose::Attempt(job.clone(), number);
+                attempt.timer = Some(self.timers.set(now + attempt.wait, purpose));
+            }
+        }
+    }
+
+    fn left(&self, job: &JobId) {
+        let waited = self.open.borrow_mut().get_mut(job).is_some_and(|open| open.answer.take().is_some());
+        if waited {
+            self.wind_up(job);
+            self.post(Event::Left { job: job.clone() });
+        }
+    }
+}
--- /dev/null
+++ b/src/node/wire/mod.rs
@@ -0,0 +1,11 @@
+//! Formats of messages and of their parts on the way, without sockets.
+
+pub mod client_request;
+pub mod client_response;
+pub mod counter_protocol;
+pub mod limits;
+pub mod load_report;
+pub mod request_body;
+pub mod request_head;
+pub mod stream;
+pub mod worker_list;
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -1,6 +1,10 @@
-//! What the operators ask of the policy's text.
+//! What the operators ask of the text of the program: its size, and which part may use which.
 
-use std::{collections::BTreeSet, fs, path::Path};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::{Path, PathBuf},
+};
 
 /// Most lines that are not blank, over all files of the policy.
 const MAX_LINES: usize = 1200;
@@ -36,3 +40,125 @@
     let present = files.map(|file| file.expect("an entry").file_name().into_string().expect("a plain name"));
     assert_eq!(present.map(|name| format!("src/policy/{name}")).collect::<BTreeSet<_>>(), named(root));
 }
+
+/// The layers of the node, each using only those before it; a name stands for the file or the folder.
+const LAYERS: [&[&str]; 4] = [
+    &["config", "left_out_file", "metrics", "processes", "wire"],
+    &["connection"],
+    &["runtime"],
+    &["descriptors", "drain", "listener", "reload", "start"],
+];
+
+/// All Rust files below a folder.
+fn rust_files(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("a folder").map(|entry| entry.expect("an entry").path());
+    let (folders, files): (Vec<_>, Vec<_>) = entries.partition(|path| path.is_dir());
+    let rust = files.into_iter().filter(|path| path.extension().is_some_and(|ending| ending == "rs"));
+    rust.chain(folders.iter().flat_map(|folder| rust_files(folder))).collect()
+}
+
+/// The paths below `node` that a file's `use` declarations name, each up to its file: `wire::stream`.
+fn used(text: &str) -> BTreeSet<String> {
+    let code: String = text.lines().filter(|line| !line.trim_start().starts_with("//")).collect();
+    let mut used = BTreeSet::new();
+    for declaration in code.split("use crate::node::").skip(1) {
+        let declaration = declaration.split(';').next().unwrap_or_default();
+        expand("", declaration, &mut used);
+    }
+    used
+}
+
+/// Writes out a tree of paths, such as `a::{b, c::D}`.
+fn expand(prefix: &str, tree: &str, used: &mut BTreeSet<String>) {
+    let tree = tree.trim();
+    let Some((head, rest)) = tree.split_once('{') else {
+        used.insert(format!("{prefix}{tree}"));
+        return;
+    };
+    let prefix = format!("{prefix}{}", head.trim());
+    let (mut depth, mut start) = (0, 0);
+    let inner = rest.strip_suffix('}').expect("balanced braces");
+    for (at, c) in inner.char_indices() {
+        match c {
+            '{' => depth += 1,
+            '}' => depth -= 1,
+            ',' if depth == 0 => {
+                expand(&prefix, &inner[start..at], used);
+                start = at + 1;
+            }
+            _ => {}
+        }
+    }
+    if !inner[start..].trim().is_empty() {
+        expand(&prefix, &inner[start..], used);
+    }
+}
+
+fn layer(module: &str) -> usize {
+    let found = LAYERS.iter().position(|layer| layer.contains(&module));
+    found.unwrap_or_else(|| panic!("{module} is in no layer"))
+}
+
+#[test]
+fn a_tree_of_paths_is_written_out() {
+    let text = "use crate::node::{\n    wire::{a, b::{C, D}},\n    config,\n};\nuse crate::node::runtime::clock::Clock;";
+    let paths = ["config", "runtime::clock::Clock", "wire::a", "wire::b::C", "wire::b::D"];
+    assert_eq!(used(text), paths.map(str::to_owned).into());
+}
+
+#[test]
+fn the_layers_of_the_node_use_only_those_before_them() {
+    let node = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/node");
+    for path in rust_files(&node) {
+        let name = path.strip_prefix(&node).expect("below it").with_extension("");
+        let module = name.iter().next().and_then(|part| part.to_str()).expect("a plain name").to_owned();
+        if module == "mod" {
+            continue;
+        }
+        for used in used(&fs::read_to_string(&path).expect("text")) {
+            let other = used.split("::").next().expect("a part");
+            assert!(layer(other) <= layer(&module), "{} uses {used}", name.display());
+        }
+    }
+}
+
+#[test]
+fn no_files_of_the_node_use_each_other_in_a_circle() {
+    let node = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/node");
+    let module = |path: &Path| {
+        let name = path.strip_prefix(&node).expect("below it").with_extension("");
+        let parts: Vec<&str> = name.iter().filter_map(|part| part.to_str()).collect();
+        parts.join("::").trim_end_matches("::mod").to_owned()
+    };
+    let files: BTreeMap<String, String> = rust_files(&node)
+        .iter()
+        .map(|path| (module(path), fs::read_to_string(path).expect("text")))
+        .collect();
+    // A path names the longest file that it begins with.
+    let file_of = |path: &str| {
+        let owns = |name: &&String| path == name.as_str() || path.starts_with(&format!("{name}::"));
+        files.keys().filter(owns).max_by_key(|name| name.len()).cloned()
+    };
+    let mut left: BTreeMap<&String, BTreeSet<String>> = files
+        .iter()
+        .map(|(name, text)| (name, used(text).iter().filter_map(|path| file_of(path)).collect()))
+        .collect();
+    for (uses, name) in left.values_mut().zip(files.keys()) {
+        uses.remove(name);
+    }
+    while let Some(free) = left.iter().find(|(_, uses)| uses.is_empty()).map(|(name, _)| (*name).clone()) {
+        left.remove(&free);
+        left.values_mut().for_each(|uses| uses.retain(|other| *other != free));
+    }
+    assert!(left.is_empty(), "in a circle, or behind one: {left:?}");
+}
+
+#[test]
+fn no_file_is_long() {
+    const MAX_LINES: usize = 500;
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    for path in [root.join("src"), root.join("lab/src")].iter().flat_map(|folder| rust_files(folder)) {
+        let count = fs::read_to_string(&path).expect("text").lines().count();
+        assert!(count <= MAX_LINES, "{}: {count} lines", path.display());
+    }
+}
--- a/tests/unit/workers.rs
+++ b/tests/unit/load_report.rs
@@ -5,11 +5,11 @@
 /// The module asks for no probe today, so no test of the whole program reads a report.
 #[test]
 fn a_report_is_read_under_either_name_and_garbage_is_left_out() {
-    let load = report("TEXT inflight=7, queue=2, util=0.61");
+    let load = parse("TEXT inflight=7, queue=2, util=0.61");
     assert_eq!((load.inflight, load.util), (Some(7.0), Some(0.61)));
-    let load = report("busy_reqs=3,cpu_share=NaN");
+    let load = parse("busy_reqs=3,cpu_share=NaN");
     assert_eq!((load.inflight, load.util), (Some(3.0), None));
     let wild = "inflight=-1, util=1e300";
-    assert_eq!(report(wild), Load::default());
-    assert_eq!(report("util=much = more"), Load::default());
+    assert_eq!(parse(wild), Load::default());
+    assert_eq!(parse("util=much = more"), Load::default());
 }
--- a/tests/unit/figures.rs
+++ b/tests/unit/metrics.rs
@@ -1,18 +1,18 @@
-//! The figures as operators read them.
+//! The metrics as operators read them.
 
 use super::*;
 
 #[test]
 fn every_class_stands_there_from_the_start_and_each_request_is_counted_once() {
-    let figures = Figures::new(2);
-    let render = || figures.render(&["a".into(), "b\"\\".into()], Targets { listed: 3, avoided: 1 });
+    let metrics = Metrics::new(2);
+    let render = || metrics.render(&["a".into(), "b\"\\".into()], Targets { listed: 3, avoided: 1 });
     for line in ["svc_success{type=\"a\"} 0", "svc_error{type=\"b\\\"\\\\\"} 0", "svc_dispatches 0"] {
         assert!(render().lines().any(|l| l == line), "{line}");
     }
-    let (one, two, gone) = (figures.take(0), figures.take(1), figures.take(1));
+    let (one, two, gone) = (metrics.take(0), metrics.take(1), metrics.take(1));
     assert!(render().contains("\nsvc_concurrent 3\n"));
-    one.end(End::Served);
-    two.end(End::Refused);
+    one.end(Outcome::Served);
+    two.end(Outcome::Refused);
     drop(gone);
     for line in [
         "svc_success{type=\"a\"} 1",
--- a/tests/unit/http.rs
+++ b/tests/unit/request_head.rs
@@ -1,13 +1,14 @@
 //! Heads and bodies of requests, read from their bytes.
 
 use super::*;
+use crate::node::wire::request_body::Body;
 
 fn read(text: &str, step: usize) -> Result<Option<(Head, BytesMut)>, StatusCode> {
     let (mut buffer, mut seen, mut open, mut whole) = (BytesMut::new(), 0, None, BytesMut::new());
     for part in text.as_bytes().chunks(step) {
         buffer.extend_from_slice(part);
         if open.is_none() {
-            open = head(&mut buffer, &mut seen)?.map(|h| (Body::new(h.framing), h));
+            open = take(&mut buffer, &mut seen)?.map(|h| (Body::new(h.framing), h));
         }
         if let Some((body, _)) = &mut open {
             // In pieces of at most nine bytes.
