--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! weirusher: the decisions of a gateway that holds customers to shared quotas before a common back end.
+//! oliverack: the decisions of a gateway that holds customers to shared quotas before a common back end.
 //!
 //! The crate does no I/O and reads no clock: feed [`Gateway::handle`] one [`Event`] at a time with the
 //! current time, and carry out the [`Action`]s it appends. In a page:
@@ -7,17 +7,25 @@
 #![warn(missing_docs)]
 
 mod allotment;
+mod counter_call;
+mod customer;
+mod customer_table;
 mod decaying_sum;
 mod hash;
-mod host;
 mod interface;
 mod job;
-mod logic;
+mod latency_estimate;
 mod options;
 mod ordered_table;
+mod policy;
+mod quota_window;
+mod server_state;
 mod server_table;
+mod settings;
+mod thin_flow;
+mod timer_table;
 mod token_bucket;
 
 pub use interface::*;
-pub use logic::Gateway;
 pub use options::{Options, OptionsError};
+pub use policy::Gateway;
--- a/src/bin/yardspur/discovery.rs
+++ b/src/node/connection/discovery.rs
@@ -1,22 +1,22 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt. Where beginning a watch has
 //! its price, the module says when, and the watch goes on from the list that is known.
 
-use crate::{
-    gateway::Hub,
-    link::{Bounds, Link},
-    list::List,
-    stream::Outgoing,
-    workers::Trace,
+use crate::node::{
+    connection::{answer_body::Bounds, http_client::HttpClient, write_progress::Trace},
+    wire::{
+        stream::Outgoing,
+        worker_list::{List, Listed},
+    },
 };
 use bytes::Bytes;
 use hyper::{Request, StatusCode, Uri, header, http::response::Parts};
+use oliverack::ListKind;
 use std::{cell::Cell, fmt, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
-    sync::watch,
+    sync::{Notify, watch},
     task::yield_now,
     time::{Instant, sleep, timeout, timeout_at},
 };
-use weirusher::ListKind;
 
 /// How long discovery may hold a watch, from the call's begin on. Whatever becomes of a call, a change counts as told
 /// 6 s after discovery had it: the hold, the patience past it, the pause or the module's turn (1 s) and a connection
@@ -29,9 +29,11 @@
 const FIRST: Duration = Duration::from_millis(2500);
 /// How much of that a connection may take to come up.
 const CONNECT: Duration = Duration::from_millis(1500);
-/// First and longest wait after a failed call: what the agent learns at its return counts as told at once, and the
+/// The first wait after a failed call: what the agent learns at its return counts as told at once, and the
 /// grace after that is half a second.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(200));
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+/// The longest.
+const MAX_BACKOFF: Duration = Duration::from_millis(200);
 /// After a move, how long an answer of the old address that has begun may take to its end: what was written counts
 /// as told. That address closes its connections by then.
 const LAST_WORD: Duration = Duration::from_millis(1500);
@@ -60,34 +62,58 @@
     }
 }
 
+/// Takes the lists that discovery tells.
+pub trait ListSink {
+    /// News of the workers.
+    fn list(&self, kind: ListKind, workers: Vec<Listed>);
+    /// Discovery was asked for the list in vain.
+    fn unlisted(&self);
+}
+
+/// How discovery is followed.
+pub struct Discovery {
+    /// The list must be asked for, at the moments that `asked` tells.
+    pub must_ask: bool,
+    /// The version of the list that is known at the start.
+    pub version: u64,
+    /// Longest list that is taken in, in bytes.
+    pub list_bound: usize,
+    /// Names of the zones, by number.
+    pub zones: Vec<String>,
+    /// The module wants the list followed, where that has its price.
+    pub asked: Rc<Notify>,
+    /// Takes the lists.
+    pub sink: Rc<dyn ListSink>,
+}
+
 /// Follows discovery for good, at the address that `place` names at the time. A new one has versions of its
 /// own, so it is asked for the whole list.
-pub async fn follow(mut place: watch::Receiver<SocketAddr>, hub: Rc<Hub>) {
-    let must_ask = hub.config().options.settings.must_ask;
+pub async fn follow(mut place: watch::Receiver<SocketAddr>, discovery: Discovery) {
+    let Discovery { must_ask, version, list_bound, zones, asked, sink } = discovery;
     // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
-    let known = must_ask.then_some(hub.config().version);
-    let (mut link, mut version, mut wait, mut trouble) = (None, known, BACKOFF.0, None);
+    let known = must_ask.then_some(version);
+    let (mut link, mut version, mut wait, mut trouble) = (None, known, MIN_BACKOFF, None);
     let (mut following, mut at) = (!must_ask, *place.borrow());
     loop {
         // Here for every move, also one that comes between an answer and the next call.
         let addr = *place.borrow_and_update();
         if addr != at {
-            (at, link, version, wait) = (addr, None, None, BACKOFF.0);
+            (at, link, version, wait) = (addr, None, None, MIN_BACKOFF);
             if must_ask && following {
-                hub.unlisted();
+                sink.unlisted();
                 following = false;
             }
         }
         if !following {
             tokio::select! {
-                () = hub.asked.notified() => following = true,
+                () = asked.notified() => following = true,
                 Ok(()) = place.changed() => {}
             }
             continue;
         }
         let begun = Trace::default();
         let answer = {
-            let mut call = pin!(call(addr, &mut link, version, hub.config().list_bound(), &begun));
+            let mut call = pin!(call(addr, &mut link, version, list_bound, &begun));
             // A lost branch loses nothing: the call goes on below, and a move stays in `place`.
             tokio::select! {
                 answer = &mut call => Some(answer),
@@ -112,25 +138,25 @@
             Ok(list) => {
                 let recovered = trouble.take().is_some();
                 if recovered {
-                    eprintln!("yardspur: discovery answers again");
+                    eprintln!("oliverack: discovery answers again");
                 }
-                wait = BACKOFF.0;
+                wait = MIN_BACKOFF;
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
                 let fits = list.full || version.is_some_and(|v| list.version >= v);
                 version = fits.then_some(list.version);
-                let workers = list.workers(&hub.config().options.zones);
+                let workers = list.workers(&zones);
                 if fits && (list.full || recovered || !workers.is_empty()) {
-                    hub.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
+                    sink.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
                 }
                 if fits {
                     continue;
                 }
-                BACKOFF.0
+                MIN_BACKOFF
             }
             Err(fault) => {
                 // One line for each kind of fault in a row, not one a call.
                 if trouble.replace(fault) != Some(fault) {
-                    eprintln!("yardspur: discovery: {fault}");
+                    eprintln!("oliverack: discovery: {fault}");
                 }
                 link = None;
                 // A service that turns calls away says nothing of the version.
@@ -138,12 +164,12 @@
                     version = None;
                 }
                 let pause = wait;
-                wait = (wait * 2).min(BACKOFF.1);
+                wait = (wait * 2).min(MAX_BACKOFF);
                 pause
             }
         };
         if must_ask {
-            hub.unlisted();
+            sink.unlisted();
             following = false;
             continue;
         }
@@ -158,7 +184,7 @@
 /// answered at once. It has one clock for all its stages.
 async fn call(
     addr: SocketAddr,
-    kept: &mut Option<Link>,
+    kept: &mut Option<HttpClient>,
     version: Option<u64>,
     most: usize,
     begun: &Trace,
@@ -169,7 +195,7 @@
     let limit = Instant::now() + span;
     let mut link = match kept_on {
         Some(link) => link,
-        None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
+        None => HttpClient::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
     };
     *begun.borrow_mut() = Some(link.progress());
     let path = match version {
--- a/src/bin/yardspur/siblings.rs
+++ b/src/node/connection/siblings.rs
@@ -3,9 +3,10 @@
 //!
 //! Each listens on a socket of its own. A new one calls all that it finds there, so the younger always calls the
 //! elder. An open connection between two means that both are there; its end, however it came, that the other has
-//! gone. Words are lines of JSON.
+//! gone. Messages are lines of JSON.
 
-use crate::{gateway::Hub, keep};
+use crate::node::{left_out_file, processes::Processes};
+use oliverack::{Memory, ServerId};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -26,7 +27,6 @@
     task::spawn_local,
     time::{sleep, timeout},
 };
-use weirusher::{Memory, ServerId};
 
 /// Siblings at once; an upgrade takes one.
 const MOST: usize = 4;
@@ -36,21 +36,21 @@
 const MEET: Duration = Duration::from_millis(500);
 /// Pause after a failure to accept.
 const PAUSE: Duration = Duration::from_millis(20);
-/// Words that may wait for a sibling; one that takes none is as good as gone.
+/// Messages that may wait for a sibling; one that takes none is as good as gone.
 const WAITING: usize = 64;
-/// The words' form; a process that speaks another one is not talked to.
+/// The messages' form; a process that speaks another one is not talked to.
 const FORM: u32 = 1;
 /// The ending of the sockets' names.
 const ENDING: &str = ".sock";
 
 #[derive(Debug, Serialize, Deserialize)]
-enum Word {
-    /// The younger's first word.
+enum Message {
+    /// The younger's first message.
     Hello {
         form: u32,
         node: String,
     },
-    /// The elder's first word.
+    /// The elder's first message.
     Knows(Memory),
     ByHand {
         server: ServerId,
@@ -63,7 +63,7 @@
     Socket(io::Error),
     Silent,
     Malformed(serde_json::Error),
-    /// A word that does not belong there, in another form, for another node, or too long.
+    /// A message that does not belong there, in another form, for another node, or too long.
     Foreign,
 }
 
@@ -71,88 +71,108 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Socket(e) => e.fmt(f),
-            Self::Silent => f.write_str("no word in time"),
-            Self::Malformed(e) => write!(f, "a malformed word: {e}"),
-            Self::Foreign => f.write_str("a word that does not belong here"),
+            Self::Silent => f.write_str("no message in time"),
+            Self::Malformed(e) => write!(f, "a malformed message: {e}"),
+            Self::Foreign => f.write_str("a message that does not belong here"),
         }
     }
 }
 
 struct Sibling {
     elder: bool,
-    words: mpsc::Sender<Word>,
+    messages: mpsc::Sender<Message>,
+}
+
+/// What siblings tell each other of, and change in each other.
+pub trait SiblingHandler {
+    /// Takes over what an elder process knows.
+    fn inherit(&self, memory: Memory);
+    /// What a younger process should know.
+    fn memory(&self) -> Memory;
+    /// Operators have told a process beside this one to leave a worker out, or to put it back.
+    fn leave_out(&self, server: &ServerId, out: bool);
+    /// A sibling has come or gone.
+    fn processes_changed(&self);
 }
 
 /// The live siblings of this process.
-#[derive(Default)]
 pub struct Siblings {
+    /// The node's name: only processes of that name are siblings.
+    node: String,
+    /// Longest message, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    longest: u64,
     known: RefCell<BTreeMap<u64, Sibling>>,
     numbers: Cell<u64>,
+    processes: Rc<Processes>,
 }
 
 impl Siblings {
-    /// Place among the processes of this gateway, the eldest first, and how many there are.
-    pub fn sharing(&self) -> (u32, u32) {
-        let known = self.known.borrow();
-        (known.values().filter(|s| s.elder).count() as u32, 1 + known.len() as u32)
+    /// Those of this node, none so far; how many there are is told by `processes`.
+    pub fn new(node: &str, longest: usize, processes: Rc<Processes>) -> Rc<Self> {
+        let (known, numbers) = (RefCell::default(), Cell::new(0));
+        Rc::new(Self { node: node.to_owned(), longest: longest as u64, known, numbers, processes })
     }
 
-    /// A younger process takes clients, too.
-    pub fn followed(&self) -> bool {
-        self.known.borrow().values().any(|s| !s.elder)
+    fn count(&self) {
+        let known = self.known.borrow();
+        let elder = known.values().filter(|s| s.elder).count() as u32;
+        self.processes.set(elder, known.len() as u32 - elder);
     }
 
     /// Tells all of them that operators have left a worker out, or put it back.
     pub fn tell(&self, server: &ServerId, out: bool) {
-        let word = || Word::ByHand { server: server.clone(), out };
-        // One that takes no words loses its connection, which tells both sides.
-        self.known.borrow_mut().retain(|_, sibling| sibling.words.try_send(word()).is_ok());
+        let message = || Message::ByHand { server: server.clone(), out };
+        // One that takes no messages loses its connection, which tells both sides.
+        self.known.borrow_mut().retain(|_, sibling| sibling.messages.try_send(message()).is_ok());
+        self.count();
     }
 }
 
+/// The handler of what siblings tell.
+pub type Handler = Rc<dyn SiblingHandler>;
+
 /// This process's own socket, taken out of the folder with it.
-pub struct Door {
-    listener: UnixListener,
+pub struct SiblingListener {
+    socket: UnixListener,
     path: PathBuf,
 }
 
-impl Drop for Door {
+impl Drop for SiblingListener {
     fn drop(&mut self) {
         // One that stays is found dead by the next process, which removes it.
         let _ = fs::remove_file(&self.path);
     }
 }
 
-/// Calls the elder siblings, takes over what they know, and opens the door for younger ones; whether there was an
+/// Calls the elder siblings, takes over what they know, and listens for younger ones; whether there was an
 /// elder. Without a folder, or one that takes no socket, this process stands alone.
-pub async fn meet(hub: &Rc<Hub>) -> (bool, Option<Door>) {
-    let node = &hub.config().name;
-    let Some((folder, name)) = keep::place(node) else { return (false, None) };
+pub async fn meet(siblings: &Rc<Siblings>, handler: &Handler) -> (bool, Option<SiblingListener>) {
+    let Some((folder, name)) = left_out_file::place(&siblings.node) else { return (false, None) };
     let mut met = false;
-    for path in doors(&folder, &name) {
-        match call(hub, &path).await {
+    for path in sockets(&folder, &name) {
+        match call(siblings, handler, &path).await {
             Ok(()) => met = true,
             Err(Fault::Socket(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
                 // Its process is gone; a failure to tidy up leaves it to the next one.
                 let _ = fs::remove_file(&path);
             }
-            Err(fault) => eprintln!("yardspur: {} is no sibling: {fault}", path.display()),
+            Err(fault) => eprintln!("oliverack: {} is no sibling: {fault}", path.display()),
         }
     }
     let path = folder.join(format!("{name}.{}{ENDING}", process::id()));
     // Of a process that had this number before.
     let _ = fs::remove_file(&path);
     match UnixListener::bind(&path) {
-        Ok(listener) => (met, Some(Door { listener, path })),
+        Ok(socket) => (met, Some(SiblingListener { socket, path })),
         Err(e) => {
-            eprintln!("yardspur: no process can follow this one: {e}");
+            eprintln!("oliverack: no process can follow this one: {e}");
             (met, None)
         }
     }
 }
 
 /// The sockets of this node's processes, as far as they may be siblings.
-fn doors(folder: &Path, name: &str) -> Vec<PathBuf> {
+fn sockets(folder: &Path, name: &str) -> Vec<PathBuf> {
     let Ok(entries) = fs::read_dir(folder) else { return Vec::new() };
     let ours = |path: &PathBuf| {
         let file = path.file_name().and_then(|n| n.to_str());
@@ -162,18 +182,18 @@
     entries.flatten().map(|entry| entry.path()).filter(ours).take(MOST).collect()
 }
 
-async fn call(hub: &Rc<Hub>, path: &Path) -> Result<(), Fault> {
+async fn call(siblings: &Rc<Siblings>, handler: &Handler, path: &Path) -> Result<(), Fault> {
     let first = async {
         let socket = UnixStream::connect(path).await.map_err(Fault::Socket)?;
         let (reader, mut writer) = socket.into_split();
-        let mut lines = Lines::new(reader, hub);
-        say(&mut writer, &Word::Hello { form: FORM, node: hub.config().name.clone() }).await?;
+        let mut lines = Lines::new(reader, siblings.longest);
+        write(&mut writer, &Message::Hello { form: FORM, node: siblings.node.clone() }).await?;
         Ok((lines.next().await?, lines, writer))
     };
     match timeout(MEET, first).await.map_err(|_| Fault::Silent)?? {
-        (Word::Knows(memory), lines, writer) => {
-            hub.inherit(memory);
-            befriend(hub, true, lines, writer, None);
+        (Message::Knows(memory), lines, writer) => {
+            handler.inherit(memory);
+            join(siblings, handler, true, lines, writer, None);
             Ok(())
         }
         _ => Err(Fault::Foreign),
@@ -181,87 +201,95 @@
 }
 
 /// Lets younger siblings in, for good.
-pub async fn welcome(hub: Rc<Hub>, door: Door) {
+pub async fn welcome(siblings: Rc<Siblings>, handler: Handler, listener: SiblingListener) {
     loop {
-        let Ok((socket, _)) = door.listener.accept().await else {
+        let Ok((socket, _)) = listener.socket.accept().await else {
             sleep(PAUSE).await;
             continue;
         };
-        if hub.siblings.known.borrow().len() >= MOST {
+        if siblings.known.borrow().len() >= MOST {
             continue;
         }
-        if let Err(fault) = answer(&hub, socket).await {
-            eprintln!("yardspur: a caller is no sibling: {fault}");
+        if let Err(fault) = answer(&siblings, &handler, socket).await {
+            eprintln!("oliverack: a caller is no sibling: {fault}");
         }
     }
 }
 
-async fn answer(hub: &Rc<Hub>, socket: UnixStream) -> Result<(), Fault> {
+async fn answer(siblings: &Rc<Siblings>, handler: &Handler, socket: UnixStream) -> Result<(), Fault> {
     let (reader, writer) = socket.into_split();
-    let mut lines = Lines::new(reader, hub);
+    let mut lines = Lines::new(reader, siblings.longest);
     match timeout(MEET, lines.next()).await.map_err(|_| Fault::Silent)?? {
-        Word::Hello { form: FORM, node } if node == hub.config().name => {}
+        Message::Hello { form: FORM, node } if node == siblings.node => {}
         _ => return Err(Fault::Foreign),
     }
     // A sibling from here on: what operators say meanwhile goes to it, behind what is known now.
-    befriend(hub, false, lines, writer, Some(Word::Knows(hub.memory())));
+    join(siblings, handler, false, lines, writer, Some(Message::Knows(handler.memory())));
     Ok(())
 }
 
 /// Holds a sibling for as long as the connection to it is open.
-fn befriend(hub: &Rc<Hub>, elder: bool, mut lines: Lines, mut writer: OwnedWriteHalf, first: Option<Word>) {
-    let (words, mut waiting) = mpsc::channel(WAITING);
-    let siblings = &hub.siblings;
+fn join(
+    siblings: &Rc<Siblings>,
+    handler: &Handler,
+    elder: bool,
+    mut lines: Lines,
+    mut writer: OwnedWriteHalf,
+    first: Option<Message>,
+) {
+    let (messages, mut waiting) = mpsc::channel(WAITING);
     let number = siblings.numbers.get();
     siblings.numbers.set(number + 1);
-    siblings.known.borrow_mut().insert(number, Sibling { elder, words });
-    hub.share();
-    let hub = hub.clone();
+    siblings.known.borrow_mut().insert(number, Sibling { elder, messages });
+    siblings.count();
+    handler.processes_changed();
+    let (siblings, handler) = (siblings.clone(), handler.clone());
     spawn_local(async move {
         let listen = async {
             loop {
                 match lines.next().await? {
-                    Word::ByHand { server, out } => hub.heed(&server, out),
+                    Message::ByHand { server, out } => handler.leave_out(&server, out),
                     _ => return Err::<(), _>(Fault::Foreign),
                 }
             }
         };
         let speak = async {
-            if let Some(word) = first {
-                say(&mut writer, &word).await?;
+            if let Some(message) = first {
+                write(&mut writer, &message).await?;
             }
-            while let Some(word) = waiting.recv().await {
-                say(&mut writer, &word).await?;
+            while let Some(message) = waiting.recv().await {
+                write(&mut writer, &message).await?;
             }
             Err::<(), _>(Fault::Silent)
         };
         let end = tokio::select! { end = listen => end, end = speak => end };
-        hub.siblings.known.borrow_mut().remove(&number);
-        hub.share();
+        siblings.known.borrow_mut().remove(&number);
+        siblings.count();
+        handler.processes_changed();
         if let Err(fault @ (Fault::Malformed(_) | Fault::Foreign)) = end {
-            eprintln!("yardspur: a sibling is left: {fault}");
+            eprintln!("oliverack: a sibling is left: {fault}");
         }
     });
 }
 
-async fn say(writer: &mut OwnedWriteHalf, word: &Word) -> Result<(), Fault> {
-    let mut line = serde_json::to_vec(word).map_err(Fault::Malformed)?;
+async fn write(writer: &mut OwnedWriteHalf, message: &Message) -> Result<(), Fault> {
+    let mut line = serde_json::to_vec(message).map_err(Fault::Malformed)?;
     line.push(b'\n');
     writer.write_all(&line).await.map_err(Fault::Socket)
 }
 
 struct Lines {
     reader: BufReader<OwnedReadHalf>,
-    /// Longest word, in bytes: what is known of a worker is no longer than its entry in an indented list.
+    /// Longest message, in bytes.
     most: u64,
 }
 
 impl Lines {
-    fn new(reader: OwnedReadHalf, hub: &Hub) -> Self {
-        Self { reader: BufReader::new(reader), most: hub.config().list_bound() as u64 }
+    fn new(reader: OwnedReadHalf, most: u64) -> Self {
+        Self { reader: BufReader::new(reader), most }
     }
 
-    async fn next(&mut self) -> Result<Word, Fault> {
+    async fn next(&mut self) -> Result<Message, Fault> {
         let mut line = Vec::new();
         (&mut self.reader).take(self.most).read_until(b'\n', &mut line).await.map_err(Fault::Socket)?;
         match line.last() {
