--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -97,11 +97,9 @@
         receiver: &mut oneshot::Receiver<FinalAnswer>,
     ) -> Result<Option<AnswerOrDropped>, Closing> {
         if expects && self.buffer.is_empty() && upload.piece.is_empty() {
-            if let Ok(answer) = receiver.try_recv() {
-                // Refused at once: the client need not send it.
+            if let Some(answer) = self.answer_or_continue(receiver).await {
                 return Ok(Some(Ok(answer)));
             }
-            let _ = self.socket.write_all(CONTINUE).await;
         }
         loop {
             let whole =
@@ -151,6 +149,18 @@
         }
     }
 
+    /// Refused at once, a client that waits for a word need not send its body; else it is told to.
+    async fn answer_or_continue(
+        &mut self,
+        receiver: &mut oneshot::Receiver<FinalAnswer>,
+    ) -> Option<FinalAnswer> {
+        if let Ok(answer) = receiver.try_recv() {
+            return Some(answer);
+        }
+        let _ = self.socket.write_all(CONTINUE).await;
+        None
+    }
+
     /// Waits for the final answer; an end where the client went before. A lost branch loses nothing: the answer
     /// stays with the receiver, a close with the socket, and what was read with the buffer.
     async fn wait(
--- a/src/node/connection/counter_client.rs
+++ b/src/node/connection/counter_client.rs
@@ -11,6 +11,7 @@
     },
     wire::counter_protocol::{self, CounterAnswer, MAX_LINE},
 };
+use bytes::BytesMut;
 use oliverack::{Event, Status};
 use std::{
     cell::{Cell, RefCell},
@@ -166,6 +167,39 @@
         true
     }
 
+    /// Writes what can be written on a line that is about to wait: whether something is left, and until when the line
+    /// may wait for an answer. An error ends the connection.
+    fn prepare_to_wait(&self, index: usize) -> Result<(bool, Option<Instant>), ErrorKind> {
+        let line = &mut self.lines.borrow_mut()[index];
+        if line.overdue(self.limit * STUCK) {
+            return Err(ErrorKind::TimedOut);
+        }
+        if !line.flush() {
+            return Err(ErrorKind::BrokenPipe);
+        }
+        if self.retired.get() && line.calls.iter().all(|c| c.reported) {
+            return Err(ErrorKind::ConnectionAborted);
+        }
+        Ok((line.unwritten(), line.overdue_at(self.limit * STUCK)))
+    }
+
+    /// Takes the next answer line out of what was read, if a whole one is there; whether it was. What is no answer puts
+    /// all that follows in doubt: the connection ends, its calls with it.
+    fn take_answer(
+        &self,
+        index: usize,
+        read: &mut BytesMut,
+        events: &EventSender,
+    ) -> Result<bool, ErrorKind> {
+        let Some(length) = read.iter().position(|b| *b == b'\n') else {
+            return if read.len() > MAX_LINE { Err(ErrorKind::InvalidData) } else { Ok(false) };
+        };
+        let line = read.split_to(length + 1);
+        let answer = counter_protocol::parse(&line[..length]);
+        let fits = answer.is_some_and(|answer| self.answered(index, &answer, events));
+        if fits { Ok(true) } else { Err(ErrorKind::InvalidData) }
+    }
+
     /// The line's connection is gone or never came up: its calls end, each by how far it had been written.
     /// One whose answer was spoilt has run; of the others only silence is a sign of a slow counter.
     fn broken(&self, index: usize, end: ErrorKind, events: &EventSender) {
@@ -246,23 +280,14 @@
         line.socket = Some(writer.clone());
         line.wake.clone()
     };
-    let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
+    let (mut read, mut buffer) = (BytesMut::new(), [0; 4096]);
     let mut ping = tokio::time::interval(PING_INTERVAL);
     // After a stall of this process one is enough.
     ping.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let (unwritten, stuck) = {
-            let line = &mut counter.lines.borrow_mut()[index];
-            if line.overdue(counter.limit * STUCK) {
-                return ErrorKind::TimedOut.into();
-            }
-            if !line.flush() {
-                return ErrorKind::BrokenPipe.into();
-            }
-            if counter.retired.get() && line.calls.iter().all(|c| c.reported) {
-                return ErrorKind::ConnectionAborted.into();
-            }
-            (line.unwritten(), line.overdue_at(counter.limit * STUCK))
+        let (unwritten, stuck) = match counter.prepare_to_wait(index) {
+            Ok(ready) => ready,
+            Err(kind) => return kind.into(),
         };
         let stuck_at = stuck.unwrap_or_else(Instant::now);
         let came = tokio::select! {
@@ -280,19 +305,12 @@
             Ok(n) => read.extend_from_slice(&buffer[..n]),
             Err(e) => return e,
         }
-        let mut from = 0;
-        while let Some(len) = read[from..].iter().position(|b| *b == b'\n') {
-            let said = counter_protocol::parse(&read[from..from + len]);
-            // What is no answer puts all that follows in doubt: the connection ends, its calls with it.
-            if !said.is_some_and(|said| counter.answered(index, &said, events)) {
-                return ErrorKind::InvalidData.into();
+        loop {
+            match counter.take_answer(index, &mut read, events) {
+                Ok(true) => *wait = MIN_BACKOFF,
+                Ok(false) => break,
+                Err(kind) => return kind.into(),
             }
-            from += len + 1;
-            *wait = MIN_BACKOFF;
-        }
-        read.drain(..from);
-        if read.len() > MAX_LINE {
-            return ErrorKind::InvalidData.into();
         }
     }
 }
--- a/src/node/connection/discovery.rs
+++ b/src/node/connection/discovery.rs
@@ -86,102 +86,154 @@
     pub sink: Rc<dyn ListSink>,
 }
 
-/// Follows discovery for good, at the address that `place` names at the time. A new one has versions of its
+/// Follows discovery for good, at the address that `addresses` names at the time. A new one has versions of its
 /// own, so it is asked for the whole list.
-pub async fn follow(mut place: watch::Receiver<SocketAddr>, discovery: Discovery) {
-    let Discovery { must_ask, version, list_bound, zones, asked, sink } = discovery;
-    // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
-    let known = must_ask.then_some(version);
-    let (mut link, mut version, mut wait, mut trouble) = (None, known, MIN_BACKOFF, None);
-    let (mut following, mut at) = (!must_ask, *place.borrow());
+pub async fn follow(addresses: watch::Receiver<SocketAddr>, discovery: Discovery) {
+    let mut follower = Follower::new(addresses, discovery);
     loop {
         // Here for every move, also one that comes between an answer and the next call.
-        let addr = *place.borrow_and_update();
-        if addr != at {
-            (at, link, version, wait) = (addr, None, None, MIN_BACKOFF);
-            if must_ask && following {
-                sink.unlisted();
-                following = false;
-            }
-        }
-        if !following {
-            tokio::select! {
-                () = asked.notified() => following = true,
-                Ok(()) = place.changed() => {}
-            }
+        follower.note_move();
+        if !follower.is_following {
+            follower.wait_until_asked().await;
             continue;
         }
-        let begun = Trace::default();
-        let answer = {
-            let mut call = pin!(call(addr, &mut link, version, list_bound, &begun));
-            // A lost branch loses nothing: the call goes on below, and a move stays in `place`.
-            tokio::select! {
-                answer = &mut call => Some(answer),
-                Ok(()) = place.changed() => tokio::select! {
-                    biased;
-                    answer = &mut call => Some(answer),
-                    // By then the runtime knows of all that had been written before the move. A call without
-                    // an answer is given up.
-                    () = yield_now() => {
-                        let begun = begun.borrow().as_ref().is_some_and(|p| p.answered());
-                        if begun { timeout(LAST_WORD, &mut call).await.ok() } else { None }
-                    }
-                },
-            }
-        };
-        let Some(answer) = answer else { continue };
-        let text = match &answer {
+        let Some(answer) = follower.call().await else { continue };
+        let list = match &answer {
             Ok(text) => serde_json::from_slice::<List>(text).map_err(|_| Fault::Unreadable),
             Err(fault) => Err(*fault),
         };
-        let pause = match text {
-            Ok(list) => {
-                let recovered = trouble.take().is_some();
-                if recovered {
-                    eprintln!("oliverack: discovery answers again");
-                }
-                wait = MIN_BACKOFF;
-                // Changes to a list that is not ours, or a version that went back: ask for the whole.
-                let fits = list.full || version.is_some_and(|v| list.version >= v);
-                version = fits.then_some(list.version);
-                let workers = list.workers(&zones);
-                if fits && (list.full || recovered || !workers.is_empty()) {
-                    sink.list(if list.full { ListKind::Full } else { ListKind::Changes }, workers);
-                }
-                if fits {
-                    continue;
-                }
-                MIN_BACKOFF
-            }
-            Err(fault) => {
-                // One line for each kind of fault in a row, not one a call.
-                if trouble.replace(fault) != Some(fault) {
-                    eprintln!("oliverack: discovery: {fault}");
-                }
-                link = None;
-                // A service that turns calls away says nothing of the version.
-                if fault == Fault::Unreadable || matches!(fault, Fault::Status(_)) && !must_ask {
-                    version = None;
-                }
-                let pause = wait;
-                wait = (wait * 2).min(MAX_BACKOFF);
-                pause
-            }
+        let pause = match list {
+            Ok(list) => follower.take_in(&list),
+            Err(fault) => Some(follower.note_fault(fault)),
         };
-        if must_ask {
-            sink.unlisted();
-            following = false;
-            continue;
+        if let Some(pause) = pause {
+            follower.pause(pause).await;
+        }
+    }
+}
+
+/// Where the following of discovery stands.
+struct Follower {
+    discovery: Discovery,
+    addresses: watch::Receiver<SocketAddr>,
+    address: SocketAddr,
+    /// The connection that the last answer came on.
+    client: Option<HttpClient>,
+    /// Of the list that is known; `None`: the whole one is to be asked for.
+    version: Option<u64>,
+    /// The wait after the next call that fails.
+    backoff: Duration,
+    /// Why the last call failed.
+    trouble: Option<Fault>,
+    is_following: bool,
+}
+
+impl Follower {
+    fn new(addresses: watch::Receiver<SocketAddr>, discovery: Discovery) -> Self {
+        let address = *addresses.borrow();
+        Self {
+            // A whole list costs the service much more than what has changed; elsewhere it is free, and sure.
+            version: discovery.must_ask.then_some(discovery.version),
+            is_following: !discovery.must_ask,
+            discovery,
+            addresses,
+            address,
+            client: None,
+            backoff: MIN_BACKOFF,
+            trouble: None,
+        }
+    }
+
+    fn note_move(&mut self) {
+        let address = *self.addresses.borrow_and_update();
+        if address == self.address {
+            return;
+        }
+        (self.address, self.client, self.version, self.backoff) = (address, None, None, MIN_BACKOFF);
+        if self.discovery.must_ask && self.is_following {
+            self.discovery.sink.unlisted();
+            self.is_following = false;
+        }
+    }
+
+    async fn wait_until_asked(&mut self) {
+        tokio::select! {
+            () = self.discovery.asked.notified() => self.is_following = true,
+            Ok(()) = self.addresses.changed() => {}
+        }
+    }
+
+    /// One call; `None`: discovery has moved before it was answered.
+    async fn call(&mut self) -> Option<Result<Bytes, Fault>> {
+        let begun = Trace::default();
+        let list_bound = self.discovery.list_bound;
+        let mut call = pin!(call(self.address, &mut self.client, self.version, list_bound, &begun));
+        // A lost branch loses nothing: the call goes on below, and a move stays in `addresses`.
+        tokio::select! {
+            answer = &mut call => Some(answer),
+            Ok(()) = self.addresses.changed() => tokio::select! {
+                biased;
+                answer = &mut call => Some(answer),
+                // By then the runtime knows of all that had been written before the move. A call without
+                // an answer is given up.
+                () = yield_now() => {
+                    let begun = begun.borrow().as_ref().is_some_and(|p| p.answered());
+                    if begun { timeout(LAST_WORD, &mut call).await.ok() } else { None }
+                }
+            },
+        }
+    }
+
+    /// Takes in a list; how long to pause, where it is not one that the known one can be followed by.
+    fn take_in(&mut self, list: &List) -> Option<Duration> {
+        let recovered = self.trouble.take().is_some();
+        if recovered {
+            eprintln!("oliverack: discovery answers again");
+        }
+        self.backoff = MIN_BACKOFF;
+        // Changes to a list that is not ours, or a version that went back: ask for the whole.
+        let fits = list.full || self.version.is_some_and(|v| list.version >= v);
+        self.version = fits.then_some(list.version);
+        let workers = list.workers(&self.discovery.zones);
+        if fits && (list.full || recovered || !workers.is_empty()) {
+            let kind = if list.full { ListKind::Full } else { ListKind::Changes };
+            self.discovery.sink.list(kind, workers);
+        }
+        if fits { None } else { Some(MIN_BACKOFF) }
+    }
+
+    /// Notes that a call has failed; how long to pause.
+    fn note_fault(&mut self, fault: Fault) -> Duration {
+        // One line for each kind of fault in a row, not one a call.
+        if self.trouble.replace(fault) != Some(fault) {
+            eprintln!("oliverack: discovery: {fault}");
+        }
+        self.client = None;
+        // A service that turns calls away says nothing of the version.
+        if fault == Fault::Unreadable || matches!(fault, Fault::Status(_)) && !self.discovery.must_ask {
+            self.version = None;
+        }
+        let pause = self.backoff;
+        self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        pause
+    }
+
+    /// Waits before the next call; where calls have their price, until the policy asks for it.
+    async fn pause(&mut self, pause: Duration) {
+        if self.discovery.must_ask {
+            self.discovery.sink.unlisted();
+            self.is_following = false;
+            return;
         }
         tokio::select! {
             () = sleep(pause) => {}
-            Ok(()) = place.changed() => {}
+            Ok(()) = self.addresses.changed() => {}
         }
     }
 }
 
-/// One call; the text of the list that it brings: a watch on the connection that is kept, where there is one, else a question on a new connection that is
-/// answered at once. It has one clock for all its stages.
+/// One call; the text of the list that it brings: a watch on the connection that is kept, where there is one, else a
+/// question on a new connection that is answered at once. It has one clock for all its stages.
 async fn call(
     addr: SocketAddr,
     kept: &mut Option<HttpClient>,
--- a/src/node/connection/worker_attempt.rs
+++ b/src/node/connection/worker_attempt.rs
@@ -105,22 +105,7 @@
                 return Err(Status::Moot);
             }
             // A body that went by the connection before can't go by another one.
-            let mut request = Request::new(what.body.take().ok_or(Status::ConnectFailed)?);
-            *request.method_mut() = what.method.clone();
-            *request.uri_mut() = what.uri.clone();
-            let headers = request.headers_mut();
-            headers.insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-            headers.insert("x-txn", what.txn.clone());
-            if let Ok(wait) = header::HeaderValue::try_from(format!("{wait:.3}")) {
-                headers.insert("x-remaining", wait);
-            }
-            if let Some(key) = &what.idempotency_key {
-                headers.insert("idempotency-key", key.clone());
-            }
-            if let Some(kind) = &what.content_type {
-                headers.insert(header::CONTENT_TYPE, kind.clone());
-            }
-            Ok(request)
+            what.to_worker(wait).ok_or(Status::ConnectFailed)
         };
         let ended = match &what.body {
             Content::Whole(_) => None,
@@ -136,17 +121,7 @@
             Ok(answer) => answer,
             Err(status) => return AttemptEnd::without_answer(status),
         };
-        let turned_away = headers.get("x-turned-away").is_some_and(|v| v == "1");
-        let status = match status.as_u16() {
-            200 => Status::Ok,
-            503 | 504 if turned_away => Status::Full,
-            _ => Status::Error,
-        };
-        let load = headers
-            .get("x-pressure")
-            .and_then(|v| v.to_str().ok())
-            .map(load_report::parse)
-            .unwrap_or_default();
+        let (status, load) = judge(status, &headers);
         AttemptEnd { status, body, load }
     }
 
@@ -168,3 +143,15 @@
         }
     }
 }
+
+/// What an answer's head says of the attempt, and of the worker.
+fn judge(status: StatusCode, headers: &HeaderMap) -> (Status, Load) {
+    let turned_away = headers.get("x-turned-away").is_some_and(|v| v == "1");
+    let status = match status.as_u16() {
+        200 => Status::Ok,
+        503 | 504 if turned_away => Status::Full,
+        _ => Status::Error,
+    };
+    let load = headers.get("x-pressure").and_then(|v| v.to_str().ok()).map(load_report::parse);
+    (status, load.unwrap_or_default())
+}
--- a/src/node/wire/client_request.rs
+++ b/src/node/wire/client_request.rs
@@ -1,8 +1,11 @@
 //! What a client's request says, in the terms of the settings, and what goes on of it to a worker.
 
-use crate::node::wire::{request_head::Head, stream::Content};
+use crate::node::wire::{
+    request_head::Head,
+    stream::{Content, Outgoing},
+};
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, StatusCode, Uri, header, header::HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header, header::HeaderValue};
 use oliverack::Options;
 
 /// Longest name of a request.
@@ -26,6 +29,29 @@
     pub body: Content,
 }
 
+impl UpstreamRequest {
+    /// The request as it goes to a worker that is told how many seconds the gateway will wait; `None`: its body has
+    /// gone to another one.
+    pub fn to_worker(&self, wait: f64) -> Option<Request<Outgoing>> {
+        let mut request = Request::new(self.body.take()?);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.insert(header::HOST, HeaderValue::from_static("backend.local"));
+        headers.insert("x-txn", self.txn.clone());
+        if let Ok(wait) = HeaderValue::try_from(format!("{wait:.3}")) {
+            headers.insert("x-remaining", wait);
+        }
+        if let Some(key) = &self.idempotency_key {
+            headers.insert("idempotency-key", key.clone());
+        }
+        if let Some(kind) = &self.content_type {
+            headers.insert(header::CONTENT_TYPE, kind.clone());
+        }
+        Some(request)
+    }
+}
+
 /// A request as a client brings it, in the terms of the settings.
 #[derive(Debug)]
 pub struct ClientRequest {
