--- a/lab/src/process/child.rs
+++ b/lab/src/process/child.rs
@@ -21,8 +21,10 @@
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// How long the program gets to finish its turn before its processor time is read.
 const REST: Duration = Duration::from_millis(5);
-/// What the program's log says before the address that it has bound.
-const LISTENS: &str = " listens on ";
+/// What the program's log says once it listens.
+const LISTENING: &str = " listening ";
+/// What stands before the address that it has bound.
+const ADDRESS: &str = " address=";
 /// Lines of the log that are kept.
 const KEPT_LINES: usize = 20;
 
@@ -121,7 +123,11 @@
         let file = write_configuration(configuration)
             .map_err(|error| Error::System("writing the program's configuration", error))?;
         let mut command = Command::new(program);
-        command.env("NODE_CONFIG", file.path()).env_remove("NODE_OPERATOR").env_remove("NODE_ACCEPT_FD");
+        command
+            .env("NODE_CONFIG", file.path())
+            .env_remove("NODE_OPERATOR")
+            .env_remove("NODE_ACCEPT_FD")
+            .env_remove("OLIVERACK_LOG");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let child = command.spawn().map_err(|error| Error::System("starting the program", error))?;
         let mut child = KilledOnDrop(child);
@@ -171,10 +177,16 @@
     Ok(file)
 }
 
+/// The address that a line of the log says the program listens on.
+fn bound_address(line: &str) -> Option<SocketAddr> {
+    let (_, address) = line.split_once(LISTENING)?.1.split_once(ADDRESS)?;
+    address.trim().parse().ok()
+}
+
 /// Keeps the last lines of the log, and tells of the address that it names.
 fn follow_log(stderr: ChildStderr, log: &Log, bound: &Sender<SocketAddr>) {
     for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-        if let Some(address) = line.split_once(LISTENS).and_then(|(_, address)| address.trim().parse().ok()) {
+        if let Some(address) = bound_address(&line) {
             let _ = bound.send(address);
         }
         let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/node/connection/clients/handler.rs
+++ b/src/node/connection/clients/handler.rs
@@ -26,6 +26,18 @@
     Failed,
 }
 
+impl FinalAnswer {
+    /// Its name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Streamed { .. } => "streamed",
+            Self::Refused { .. } => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// Takes clients' requests and answers them.
 pub trait RequestHandler {
     /// Takes a request; its final answer comes by the receiver. `None`: its name is that of one that is open, and so
--- a/src/node/connection/clients/mod.rs
+++ b/src/node/connection/clients/mod.rs
@@ -26,6 +26,7 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
+use tracing::warn;
 
 /// Longest time that a client may take to read an answer.
 const UNREAD: Duration = Duration::from_secs(2);
@@ -130,7 +131,7 @@
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
                     if !self.complained.replace(true) {
-                        eprintln!("oliverack: accept: {e}");
+                        warn!(reason = %e, "accepting a connection failed");
                     }
                     self.make_room();
                     tokio::time::sleep(PAUSE).await;
--- a/src/node/connection/counter_client.rs
+++ b/src/node/connection/counter_client.rs
@@ -21,6 +21,7 @@
     time::{Duration, Instant},
 };
 use tokio::{io::AsyncReadExt, net::TcpStream};
+use tracing::warn;
 
 /// Lines at most; the counter holds 32 of a gateway.
 pub const LINES: usize = 4;
@@ -224,7 +225,7 @@
     fn complain(&self, fault: &io::Error) {
         if self.complained.get().is_none_or(|at| at.elapsed() > COMPLAINTS) {
             self.complained.set(Some(Instant::now()));
-            eprintln!("oliverack: counter: {fault}");
+            warn!(address = %self.addr, reason = %fault, "counter connection failed");
         }
     }
 
--- a/src/node/connection/discovery.rs
+++ b/src/node/connection/discovery.rs
@@ -17,6 +17,7 @@
     task::yield_now,
     time::{Instant, sleep, timeout, timeout_at},
 };
+use tracing::{info, warn};
 
 /// How long discovery may hold a watch, from the call's begin on. Whatever becomes of a call, a change counts as told
 /// 6 s after discovery had it: the hold, the patience past it, the pause or the module's turn (1 s) and a connection
@@ -188,7 +189,7 @@
     fn take_in(&mut self, list: &List) -> Option<Duration> {
         let recovered = self.trouble.take().is_some();
         if recovered {
-            eprintln!("oliverack: discovery answers again");
+            info!("discovery answers again");
         }
         self.backoff = MIN_BACKOFF;
         // Changes to a list that is not ours, or a version that went back: ask for the whole.
@@ -206,7 +207,7 @@
     fn note_fault(&mut self, fault: Fault) -> Duration {
         // One line for each kind of fault in a row, not one a call.
         if self.trouble.replace(fault) != Some(fault) {
-            eprintln!("oliverack: discovery: {fault}");
+            warn!(reason = %fault, "discovery failed");
         }
         self.client = None;
         // A service that turns calls away says nothing of the version.
--- a/src/node/connection/siblings.rs
+++ b/src/node/connection/siblings.rs
@@ -27,6 +27,7 @@
     task::spawn_local,
     time::{sleep, timeout},
 };
+use tracing::warn;
 
 /// Siblings at once; an upgrade takes one.
 const MOST: usize = 4;
@@ -156,7 +157,7 @@
                 // Its process is gone; a failure to tidy up leaves it to the next one.
                 let _ = fs::remove_file(&path);
             }
-            Err(fault) => eprintln!("oliverack: {} is no sibling: {fault}", path.display()),
+            Err(fault) => warn!(path = %path.display(), reason = %fault, "no sibling process listens there"),
         }
     }
     let path = folder.join(format!("{name}.{}{ENDING}", process::id()));
@@ -165,7 +166,7 @@
     match UnixListener::bind(&path) {
         Ok(socket) => (met, Some(SiblingListener { socket, path })),
         Err(e) => {
-            eprintln!("oliverack: no process can follow this one: {e}");
+            warn!(reason = %e, "no process can follow this one");
             (met, None)
         }
     }
@@ -211,7 +212,7 @@
             continue;
         }
         if let Err(fault) = answer(&siblings, &handler, socket).await {
-            eprintln!("oliverack: a caller is no sibling: {fault}");
+            warn!(reason = %fault, "a caller is no sibling process");
         }
     }
 }
@@ -267,7 +268,7 @@
         siblings.count();
         handler.processes_changed();
         if let Err(fault @ (Fault::Malformed(_) | Fault::Foreign)) = end {
-            eprintln!("oliverack: a sibling is left: {fault}");
+            warn!(reason = %fault, "a sibling process is given up");
         }
     });
 }
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -7,7 +7,11 @@
         worker_pool::Target,
         write_progress::{Trace, may_have_run},
     },
-    runtime::{driver::Driver, open_requests::Attempt, timers::TimerPurpose},
+    runtime::{
+        driver::Driver,
+        open_requests::{Attempt, Given},
+        timers::TimerPurpose,
+    },
     wire::{
         client_request::UpstreamRequest,
         stream::{self, Content, Piece},
@@ -16,6 +20,7 @@
 use oliverack::{Event, JobId, Load, ServerId, Status, Time};
 use std::{rc::Rc, time::Duration};
 use tokio::{sync::mpsc, task::AbortHandle};
+use tracing::debug;
 
 impl Driver {
     /// Begins an attempt, if its request still waits for it and the server is known.
@@ -46,6 +51,7 @@
             open.dedup_until = until;
             self.timers.set(until, TimerPurpose::DedupEnd(job.clone()));
         }
+        debug!(request = ?open.upstream.txn, attempt = number, worker = %server, wait, "attempt begun");
         let trace = Trace::default();
         let upstream = open.upstream.clone();
         let task = self.spawn_attempt(job.clone(), number, target, upstream, wait, trace.clone());
@@ -77,27 +83,30 @@
         let mut table = self.open.borrow_mut();
         let open = table.get_mut(job)?;
         open.attempt_mut(number)?;
-        let answer = open.answer.take()?;
+        let (sender, pieces) = stream::pipe();
+        let given = open.give(FinalAnswer::Streamed { length, pieces });
+        if given == Given::Before {
+            return None;
+        }
         let attempt = open.attempt_mut(number)?;
         attempt.begun = Some(self.clock.now());
         let timer = attempt.timer.take();
         drop(table);
         timer.into_iter().for_each(|timer| self.timers.cancel(timer));
         self.wind_up(job);
-        let (sender, pieces) = stream::pipe();
         self.post(Event::FirstByte { job: job.clone() });
-        answer.send(FinalAnswer::Streamed { length, pieces }).ok().map(|()| sender)
+        (given == Given::ToClient).then_some(sender)
     }
 
     fn ended(self: &Rc<Self>, job: &JobId, number: u32, end: AttemptEnd) {
         let mut table = self.open.borrow_mut();
         let Some(open) = table.get_mut(job) else { return };
         let Some(attempt) = open.attempts.get_mut(number as usize).and_then(Option::take) else { return };
+        let (request, worker) = (&open.upstream.txn, &attempt.server);
+        debug!(?request, attempt = number, %worker, reason = ?end.status, "attempt ended");
         attempt.timer.into_iter().for_each(|timer| self.timers.cancel(timer));
-        let answer = if end.status == Status::Ok { open.answer.take() } else { None };
-        if let Some(answer) = answer {
-            // A receiver that is gone belongs to a client that is gone, and says so itself.
-            let _ = answer.send(FinalAnswer::Served(end.body));
+        if end.status == Status::Ok {
+            open.give(FinalAnswer::Served(end.body));
         }
         let over = !open.is_waiting();
         drop(table);
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -30,6 +30,7 @@
     time::Duration,
 };
 use tokio::sync::Notify;
+use tracing::{error, info};
 
 /// Events are being handed to the policy.
 struct Working<'a>(&'a Cell<bool>);
@@ -165,9 +166,9 @@
             }
             Action::Probe { server } => self.probe(server),
             Action::Count { counter, amount, ttl } => self.count(now, counter, amount, ttl),
-            Action::Log(text) => eprintln!("oliverack: {text}"),
+            Action::Log(text) => info!("{text}"),
             Action::Watch => self.asked.notify_one(),
-            other => eprintln!("oliverack: an action is unknown: {other:?}"),
+            other => error!(action = ?other, "unknown action of the policy"),
         }
     }
 
--- a/src/node/runtime/open_requests.rs
+++ b/src/node/runtime/open_requests.rs
@@ -11,6 +11,7 @@
 use oliverack::{ServerId, Time};
 use std::rc::Rc;
 use tokio::{sync::oneshot, task::AbortHandle};
+use tracing::debug;
 
 /// An attempt that is out.
 pub struct Attempt {
@@ -37,10 +38,21 @@
     }
 }
 
+/// Where a final answer went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Given {
+    /// To the client that waited.
+    ToClient,
+    /// Nowhere: the client has gone.
+    ToNobody,
+    /// Nowhere: there was one before, or none is owed.
+    Before,
+}
+
 /// A request that waits for its answer, or whose attempts are out.
 pub struct OpenRequest {
     /// Takes the one final answer; `None` once that was given, or is owed to nobody.
-    pub answer: Option<oneshot::Sender<FinalAnswer>>,
+    answer: Option<oneshot::Sender<FinalAnswer>>,
     /// What its attempts send.
     pub upstream: Rc<UpstreamRequest>,
     /// Seconds that the client waits, from its last byte on.
@@ -69,11 +81,24 @@
         }
     }
 
+    /// The client has gone; whether it was waiting.
+    pub fn abandon(&mut self) -> bool {
+        self.answer.take().is_some()
+    }
+
     /// Its client waits for the final answer.
     pub fn is_waiting(&self) -> bool {
         self.answer.is_some()
     }
 
+    /// Gives the one final answer.
+    pub fn give(&mut self, answer: FinalAnswer) -> Given {
+        let Some(sender) = self.answer.take() else { return Given::Before };
+        debug!(request = ?self.upstream.txn, answer = answer.name(), "final answer");
+        // A receiver that is gone belongs to a client that is gone, and says so itself.
+        sender.send(answer).map_or(Given::ToNobody, |()| Given::ToClient)
+    }
+
     /// Nothing more is owed for it, and nothing of it is out.
     pub fn is_done(&self) -> bool {
         self.answer.is_none() && self.attempts.iter().all(Option::is_none)
--- a/src/node/runtime/operations.rs
+++ b/src/node/runtime/operations.rs
@@ -7,13 +7,14 @@
 };
 use oliverack::{Event, Memory, ServerId};
 use std::rc::Rc;
+use tracing::{info, warn};
 
 impl Driver {
     /// Takes over the workers left out that the last process has kept.
     pub fn recall_left_out(self: &Rc<Self>) {
         match self.left_out_file.as_ref().map_or(Ok(Vec::new()), LeftOutFile::load) {
             Ok(out) => out.into_iter().for_each(|server| self.post(Event::ByHand { server, out: true })),
-            Err(error) => eprintln!("oliverack: {error}"),
+            Err(error) => warn!(reason = %error, "workers left out by hand are not known"),
         }
     }
 
@@ -41,7 +42,11 @@
 
     /// Operators have told this process, or one beside it.
     fn leave_out(self: &Rc<Self>, server: &ServerId, out: bool) {
-        eprintln!("oliverack: by hand: worker {server} {}", if out { "out" } else { "back" });
+        if out {
+            info!(worker = %server, "worker left out by hand");
+        } else {
+            info!(worker = %server, "worker put back by hand");
+        }
         self.workers.left_out(server);
         self.post(Event::ByHand { server: server.clone(), out });
     }
@@ -62,7 +67,7 @@
 
     fn processes_changed(&self) {
         let (place, of) = (self.processes.place(), self.processes.count());
-        eprintln!("oliverack: one of {of} at work for this gateway");
+        info!(place, processes = of, "processes at work for this gateway");
         self.workers.share(of as usize);
         self.post(Event::Sharing { place, of });
     }
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -2,12 +2,17 @@
 
 use crate::node::{
     connection::clients::{FinalAnswer, RequestHandler},
-    runtime::{driver::Driver, open_requests::OpenRequest, timers::TimerPurpose},
+    runtime::{
+        driver::Driver,
+        open_requests::{Given, OpenRequest},
+        timers::TimerPurpose,
+    },
     wire::{client_request::ClientRequest, stream::Content},
 };
 use oliverack::{Event, JobId, Request, Status};
 use std::rc::Rc;
 use tokio::sync::oneshot;
+use tracing::debug;
 
 /// Seconds after a request's end at which it is failed, should the policy not have answered.
 const LAST_RESORT: f64 = 0.004;
@@ -45,10 +50,8 @@
     }
 
     fn answer(self: &Rc<Self>, job: &JobId, answer: FinalAnswer) {
-        let sender = self.open.borrow_mut().get_mut(job).and_then(|open| open.answer.take());
-        if let Some(sender) = sender {
-            // A receiver that is gone belongs to a client that is gone, and says so itself.
-            let _ = sender.send(answer);
+        let given = self.open.borrow_mut().get_mut(job).map_or(Given::Before, |open| open.give(answer));
+        if given != Given::Before {
             self.wind_up(job);
         }
     }
@@ -87,6 +90,7 @@
         if !self.transactions.borrow_mut().insert(request.upstream.txn.clone()) {
             return None;
         }
+        debug!(request = ?request.upstream.txn, customer = request.customer, class = request.class, "request taken");
         self.last_job.set(self.last_job.get() + 1);
         let job: JobId = self.last_job.get().to_string().into();
         let expires = self.clock.now() + request.remaining;
@@ -130,7 +134,7 @@
     }
 
     fn left(&self, job: &JobId) {
-        let waited = self.open.borrow_mut().get_mut(job).is_some_and(|open| open.answer.take().is_some());
+        let waited = self.open.borrow_mut().get_mut(job).is_some_and(|open| open.abandon());
         if waited {
             self.wind_up(job);
             self.post(Event::Left { job: job.clone() });
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -24,6 +24,7 @@
     task::{JoinSet, spawn_local},
     time::sleep,
 };
+use tracing::info;
 
 /// Between looks for idle connections that are due.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -119,7 +120,7 @@
     let sweeps = spawn_local(sweep(driver.clone()));
     let clients = Clients::new(clients_context(&driver), budget.clients);
     let watch = spawn_local(clients.clone().watch());
-    eprintln!("oliverack: {name} listens on {bound}");
+    info!(gateway = %name, address = %bound, "listening");
     if let Some(listener) = operators {
         serve_operators(&driver, &clients, listener, &mut calls);
     }
@@ -135,9 +136,9 @@
         _ = sweeps => return Err(NodeError::Part("idle connections")),
         Some(_) = calls.join_next() => return Err(NodeError::Part("operators and siblings")),
     }
-    eprintln!("oliverack: {name} stops with {} in hand", driver.waiting_requests());
+    info!(gateway = %name, waiting = driver.waiting_requests(), "stopping");
     drain(&driver, &clients, listener, kill).await;
-    eprintln!("oliverack: {name} has stopped");
+    info!(gateway = %name, "stopped");
     Ok(())
 }
 
@@ -182,7 +183,7 @@
     calls: &mut JoinSet<()>,
 ) {
     if let Ok(addr) = listener.local_addr() {
-        eprintln!("oliverack: operators call {addr}");
+        info!(address = %addr, "listening for operators");
     }
     let operations = Box::new(OperatorCalls { driver: driver.clone(), clients: clients.clone() });
     calls.spawn_local(Rc::new(Operators { operations }).serve(listener));
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -226,7 +226,7 @@
         std::thread::sleep(Duration::from_secs(5).saturating_sub(sent.elapsed()));
     });
     // The process has found both at once.
-    node.says("reload: discovery at");
+    node.says("configuration reloaded");
     gate.open();
     assert_eq!(client.answer().expect("a whole answer").body, b"waited");
     assert_eq!(opened.expect("set above").rest().len(), 0);
@@ -330,7 +330,7 @@
         node.reload_while(&setup.config().to_string(), || {
             socket.write_all(first.as_bytes()).expect("it reads");
         });
-        node.says("reload: discovery at");
+        node.says("configuration reloaded");
         socket.write_all(second.as_bytes()).expect("it reads on");
         let (moved, _) = new.accept().expect("the move's call");
         let call = read_message(&mut BufReader::new(moved)).expect("a call");
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -51,7 +51,7 @@
         let down = Down::new();
         setup.discovery = down.addr;
         let node = setup.start();
-        node.says("discovery: no connection");
+        node.says("discovery failed reason=no connection");
         let reached = Instant::now();
         call(&down.listen());
         return reached.elapsed();
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -579,6 +579,8 @@
     pub folder: Option<&'a Path>,
     /// The system gives it so many descriptors, and no more.
     pub descriptors: Option<usize>,
+    /// How it logs, where that is not the default.
+    pub log: Option<&'a str>,
 }
 
 /// Starts the program on a file of its own that holds `config`.
@@ -609,6 +611,10 @@
         Some(folder) => command.env("TMPDIR", folder),
         None => command.env_remove("TMPDIR"),
     };
+    match start.log {
+        Some(setting) => command.env("OLIVERACK_LOG", setting),
+        None => command.env_remove("OLIVERACK_LOG"),
+    };
     let child = command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("the program starts");
     (child, path)
 }
@@ -683,11 +689,12 @@
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
         let nowhere = "127.0.0.1:0".parse().expect("an address");
         let mut node = Node { addr: nowhere, operator: nowhere, child, path, log };
-        let bound =
-            |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
-        node.addr = bound(node.says("listens on "));
+        let bound = |line: String| {
+            line.rsplit_once("address=").and_then(|(_, address)| address.parse().ok()).expect("what it bound")
+        };
+        node.addr = bound(node.says("listening gateway="));
         if self.operator {
-            node.operator = bound(node.says("operators call "));
+            node.operator = bound(node.says("listening for operators"));
         }
         node
     }
--- /dev/null
+++ b/tests/logging.rs
@@ -0,0 +1,101 @@
+//! The structured log, as the built program writes it.
+
+mod fakes;
+use fakes::*;
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    process::Command,
+};
+
+/// The lines that a program logs, at a setting, while it serves one request and refuses one, up to its end.
+fn lines(setting: &str) -> Vec<String> {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let (mut child, path) =
+        run_as(&setup.config().to_string(), Start { log: Some(setting), ..Start::default() });
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines().map(|line| line.expect("text"));
+    let mut lines: Vec<String> = log.by_ref().take(1).collect();
+    let addr = address(&lines[0]);
+    assert_eq!(Client::connect(addr).ask(&Ask::new("served")).status(), 200);
+    worker.now(Does::Says("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n"));
+    assert_eq!(Client::connect(addr).ask(&Ask::new("refused")).status(), 429);
+    let killed = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().expect("kill runs");
+    assert!(killed.success());
+    lines.extend(log);
+    assert!(child.wait().expect("a child").success());
+    let _ = std::fs::remove_file(path);
+    lines
+}
+
+/// What the first line says that the program listens on.
+fn address(line: &str) -> SocketAddr {
+    let (_, address) = line.split_once("address").expect("an address");
+    let plain = address.trim_matches(|c: char| !c.is_ascii_digit());
+    plain.parse().unwrap_or_else(|e| panic!("{e}: {line}"))
+}
+
+fn json(line: &str) -> BTreeMap<String, Value> {
+    serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}"))
+}
+
+#[test]
+fn at_the_default_level_nothing_is_logged_of_a_request() {
+    let lines = lines("info");
+    assert!(lines.iter().any(|line| line.contains("stopped")), "{lines:?}");
+    assert!(!lines.iter().any(|line| line.contains("request") || line.contains("attempt")), "{lines:?}");
+}
+
+#[test]
+fn as_json_each_line_is_an_object_and_a_request_can_be_followed_by_its_name() {
+    let lines: Vec<BTreeMap<String, Value>> = lines("debug,json").iter().map(|line| json(line)).collect();
+    let of = |name: &str| -> Vec<&BTreeMap<String, Value>> {
+        let name = format!("\"{name}\"");
+        lines.iter().filter(|line| line.get("request").is_some_and(|r| *r == name)).collect()
+    };
+    let events = |name: &str| -> Vec<String> {
+        of(name).iter().map(|line| line["message"].as_str().expect("a message").to_owned()).collect()
+    };
+    assert_eq!(events("served"), ["request taken", "attempt begun", "attempt ended", "final answer"]);
+    let refused = events("refused");
+    assert_eq!((refused[0].as_str(), refused[refused.len() - 1].as_str()), ("request taken", "final answer"));
+    let begun = of("served")[1];
+    assert_eq!((&begun["worker"], &begun["attempt"]), (&Value::from("w0"), &Value::from(0)));
+    assert_eq!(of("served")[2]["reason"], "Ok");
+    assert_eq!(of("served")[0]["customer"], "00000000b4d65521");
+    assert!(
+        lines.iter().all(|line| ["timestamp", "level", "message"].iter().all(|key| line.contains_key(*key)))
+    );
+}
+
+#[test]
+fn a_log_that_nobody_takes_ends_nothing() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let (mut child, path) =
+        run_as(&setup.config().to_string(), Start { log: Some("debug"), ..Start::default() });
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let listening =
+        log.find_map(|line| line.expect("text").rsplit_once("address=").map(|(_, a)| a.to_owned()));
+    let addr = listening.and_then(|addr| addr.parse().ok()).expect("what it bound");
+    // From here on each write of the log fails.
+    drop(log);
+    for i in 0..20 {
+        assert_eq!(Client::connect(addr).ask(&Ask::new(&format!("r{i}"))).status(), 200);
+    }
+    assert!(child.try_wait().expect("a child").is_none(), "it has ended");
+    let _ = child.kill();
+    let _ = child.wait();
+    let _ = std::fs::remove_file(path);
+}
+
+#[test]
+fn a_setting_that_is_none_is_one_plain_line_and_a_failing_exit() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oliverack"));
+    let output = command.env("OLIVERACK_LOG", "info,xml").output().expect("the program starts");
+    assert!(!output.status.success());
+    let lines: Vec<String> = BufReader::new(&output.stderr[..]).lines().map_while(Result::ok).collect();
+    assert!(lines.len() == 1 && lines[0].contains("OLIVERACK_LOG") && lines[0].contains("xml"), "{lines:?}");
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -456,7 +456,7 @@
     client.send(&Ask::new("held"));
     worker.request();
     node.terminate();
-    node.says("stops with 1 in hand");
+    node.says("stopping gateway=n0 waiting=1");
     gate.open();
     let answer = client.answer().expect("an answer");
     assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
@@ -554,7 +554,7 @@
     let elsewhere = Discovery::start(&[entry("w9", new.addr, "SERVING")]);
     (setup.discovery, setup.counter) = (elsewhere.addr, Some(two.addr));
     node.reload(&setup.config().to_string());
-    node.says("reload: discovery at ");
+    node.says("configuration reloaded");
     elsewhere.told(1);
     let other = Ask::new("other").with("X-Plan", "pieni").with("X-Customer", "0000000000000002");
     assert_eq!(node.ask(&other).body, b"new");
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -61,7 +61,7 @@
     client.send(&Ask::new("held"));
     worker.request();
     node.terminate();
-    node.says("stops with 1 in hand");
+    node.says("stopping gateway=n0 waiting=1");
     while node.call("GET /healthcheck").status() != 503 {}
 }
 
@@ -225,7 +225,7 @@
     let old = start();
     while old.call("GET /healthcheck").status() != 200 {}
     let new = start();
-    old.says("one of 2");
+    old.says("processes=2");
     while new.call("GET /healthcheck").status() != 200 {}
     (old, new)
 }
@@ -249,9 +249,9 @@
     let old = setup.start_on(&config, start);
     let start = Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() };
     let new = setup.start_on(&config, start);
-    old.says("one of 2");
+    old.says("processes=2");
     drop(old);
-    new.says("one of 1");
+    new.says("processes=1");
     assert_eq!(new.ask(&Ask::submit("after")).body, b"ok");
 }
 
@@ -265,19 +265,19 @@
     std::fs::write(folder.0.join("oliverack-n0.2.sock"), "").expect("a folder");
     let (old, new) = upgrade(&setup, &socket, &folder);
     assert_eq!(old.call("PUT /workers/w0/maint").status(), 200);
-    new.says("by hand: worker w0 out");
+    new.says("left out by hand worker=w0");
     let ask =
         |tag: &str| (0..20).map(|i| old.ask(&Ask::submit(&format!("{tag}{i}"))).body).collect::<Vec<_>>();
     assert!(ask("a").iter().all(|b| b == b"two"), "whichever takes it");
     assert_eq!(new.call("PUT /workers/w0/ready").status(), 200);
-    old.says("by hand: worker w0 back");
+    old.says("put back by hand worker=w0");
     assert_eq!(new.call("PUT /workers/w1/maint").status(), 200);
     std::fs::write(folder.0.join("oliverack-n0.out.json"), "{").expect("a folder");
     let third = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
-    old.says("one of 3");
+    old.says("processes=3");
     assert_eq!(third.call("GET /stats").status(), 200);
     drop((old, new));
-    third.says("one of 1");
+    third.says("processes=1");
     for i in 0..20 {
         let answer = third.ask(&Ask::submit(&format!("c{i}")));
         assert!(answer.status() == 429 || answer.body == b"one", "w1 is out, w0 may be cold");
@@ -297,16 +297,16 @@
         assert_eq!(client.ask(&Ask::new(&format!("a{i}"))).status(), 200);
     }
     let new = start();
-    old.says("one of 2");
+    old.says("processes=2");
     old.terminate();
-    old.says("stops with 0 in hand");
+    old.says("stopping gateway=n0 waiting=0");
     assert_eq!(new.ask(&Ask::new("b")).status(), 200);
     for (i, client) in kept.iter_mut().enumerate() {
         let answer = client.ask(&Ask::new(&format!("c{i}")));
         assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
     }
     assert!(old.exit().success(), "after its last answer");
-    new.says("one of 1");
+    new.says("processes=1");
 }
 
 #[test]
@@ -317,11 +317,11 @@
     let (old, mut new) = upgrade(&setup, &socket, &folder);
     new.child.kill().expect("a child");
     new.exit();
-    old.says("one of 1");
+    old.says("processes=1");
     (0..20).for_each(|i| assert_eq!(old.ask(&Ask::new(&format!("a{i}"))).status(), 200));
     // And the next attempt finds it.
     let _next = setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
-    old.says("one of 2");
+    old.says("processes=2");
 }
 
 #[test]
@@ -340,7 +340,7 @@
     ] {
         let mut caller = UnixStream::connect(&door).expect("it listens");
         caller.write_all(word.as_bytes()).expect("a socket");
-        node.says("a caller is no sibling");
+        node.says("a caller is no sibling process");
         // Reset or ended: it may not have been read whole.
         let _ = caller.read(&mut [0]);
     }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -26,7 +26,7 @@
     let down = Down::new();
     setup.discovery = down.addr;
     let node = setup.start_as(Start { descriptors: Some(96), ..Start::default() });
-    node.says("discovery: no connection");
+    node.says("discovery failed reason=no connection");
     let mut old = node.client();
     assert_eq!(old.ask(&Ask::new("old")).status(), 200);
     // Far more than there are descriptors; some ask once and rest, some ask nothing, some half.
@@ -91,11 +91,12 @@
     for (begun, (mut child, path)) in nodes {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let mut line = String::new();
-        while !line.contains(" listens on ") {
+        while !line.contains("listening gateway=") {
             line.clear();
             assert!(log.read_line(&mut line).expect("a line") > 0, "it ended");
         }
-        let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
+        let addr =
+            line.trim().rsplit_once("address=").and_then(|(_, a)| a.parse().ok()).expect("what it bound");
         let mut up = Ask::new("");
         up.line = "GET /up HTTP/1.1".into();
         let answer = Client::connect(addr).ask(&up);
@@ -195,8 +196,9 @@
     answer_with(&listener, &long);
     answer_with(&listener, &short);
     assert!(
-        node.says("discovery: ")
-            .ends_with("discovery: the list is longer than the 4194304 bytes that fit in memory")
+        node.says("discovery failed").ends_with(
+            "discovery failed reason=the list is longer than the 4194304 bytes that fit in memory"
+        )
     );
     assert!(node.says("discovery").ends_with("discovery answers again"));
     assert_eq!(node.ask(&Ask::new("told")).body, b"ok");
