--- a/src/main.rs
+++ b/src/main.rs
@@ -1,22 +1,20 @@
 //! oliverack: the gateway on real sockets, as a program.
 #![deny(unsafe_code)]
 
+mod command_line;
 mod logging;
 mod node;
 
-use std::{fmt::Display, process::ExitCode};
-
-fn fail(error: &dyn Display) -> ExitCode {
-    eprintln!("oliverack: {error}");
-    ExitCode::FAILURE
-}
+use clap::Parser;
+use command_line::CommandLine;
+use std::{io, process::ExitCode};
 
 fn main() -> ExitCode {
-    if let Err(error) = logging::start() {
-        return fail(&error);
-    }
-    match node::run_configured() {
+    match CommandLine::parse().run(&mut io::stdout()) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => fail(&error),
+        Err(error) => {
+            eprintln!("oliverack: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
--- a/src/node/config.rs
+++ b/src/node/config.rs
@@ -1,48 +1,67 @@
-//! What a gateway is told at its start.
+//! What a gateway is told at its start: the configuration's file, and variables of the environment beside it.
 
 use crate::node::wire::worker_list::{List, Listed};
-use oliverack::{Options, OptionsError};
+use oliverack::{Options, SettingsDocument};
+use schemars::JsonSchema;
 use serde::Deserialize;
-use serde_json::Value;
 use std::{
     env::{self, VarError},
     fmt,
     net::SocketAddr,
     os::fd::RawFd,
+    path::PathBuf,
     str::FromStr,
 };
 
-#[derive(Debug, Deserialize)]
-struct Limits {
+/// What the process may hold.
+#[derive(Debug, Deserialize, JsonSchema)]
+struct LimitsDocument {
+    /// File descriptors.
     sockets: usize,
+    /// Memory, in MB.
     memory_mb: usize,
 }
 
-/// The file's form.
-#[derive(Debug, Deserialize)]
-struct File<'a> {
+/// The configuration's file.
+#[derive(Debug, Deserialize, JsonSchema)]
+pub struct ConfigDocument<'a> {
+    /// The gateway's name, the same after a restart.
     name: String,
+    /// Where clients connect.
     listen: SocketAddr,
+    /// Where discovery listens.
     discovery: SocketAddr,
+    /// For random numbers: up to 16 hexadecimal digits.
     seed: String,
-    limits: Limits,
+    /// What the process may hold.
+    limits: LimitsDocument,
+    /// Where the counter listens, if there is one.
     counter: Option<SocketAddr>,
+    /// Where operators call, if they may.
     operator: Option<SocketAddr>,
+    /// The list of workers as last held; it may be old.
     #[serde(borrow)]
     known: List<'a>,
-    settings: Value,
+    /// The settings object.
+    settings: SettingsDocument,
 }
 
+/// The configuration, read and found usable.
 #[derive(Debug)]
 pub struct Config {
+    /// The gateway's name.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where discovery listens.
     pub discovery: SocketAddr,
+    /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// Memory that it may hold, in bytes.
     pub memory: usize,
+    /// Where the counter listens, if there is one.
     pub counter: Option<SocketAddr>,
     /// Where operators call; none where there are no such calls.
     pub operator: Option<SocketAddr>,
@@ -52,20 +71,40 @@
     pub known: Vec<Listed>,
     /// The version of that list.
     pub version: u64,
+    /// The settings, and what stands beside them.
     pub options: Options,
 }
 
+/// Why a configuration can't be used.
 #[derive(Debug)]
+#[non_exhaustive]
 pub enum ConfigError {
+    /// No file is named.
     NoPath,
+    /// The file can't be read.
     Unreadable(std::io::Error),
-    Malformed(serde_json::Error),
+    /// The file is no JSON, or a key does not hold what it should.
+    Malformed {
+        /// The path of the key, such as `settings.Classes[0].Effect`; `.` for the whole.
+        path: String,
+        /// What is wrong there.
+        reason: serde_json::Error,
+    },
+    /// The seed is no number.
     BadSeed,
+    /// The named key holds no time that can be worked with.
     BadTime(&'static str),
-    TooFewSockets(usize, usize),
+    /// Fewer descriptors than can be worked with.
+    TooFewSockets {
+        /// How many there are.
+        sockets: usize,
+        /// How many are needed.
+        least: usize,
+    },
+    /// Less memory, in MB, than can be worked with.
     TooLittleMemory(usize),
+    /// The named variable of the environment can't be understood.
     BadVariable(&'static str),
-    Options(OptionsError),
 }
 
 impl fmt::Display for ConfigError {
@@ -73,19 +112,31 @@
         match self {
             Self::NoPath => f.write_str("NODE_CONFIG names no file"),
             Self::Unreadable(e) => write!(f, "the configuration can't be read: {e}"),
-            Self::Malformed(e) => write!(f, "the configuration is malformed: {e}"),
-            Self::BadSeed => f.write_str("the configuration's seed is not a hexadecimal number"),
-            Self::BadTime(key) => write!(f, "Options.Limits.{key} is not a usable time"),
-            Self::TooFewSockets(n, least) => write!(f, "{n} sockets are too few: {least} at least"),
-            Self::TooLittleMemory(n) => {
-                write!(f, "{n} MB of memory are too little: {} at least", Config::LEAST_MEMORY_MB)
+            Self::Malformed { path, reason } if path == WHOLE || !reason.is_data() => {
+                write!(f, "the configuration is malformed: {reason}")
+            }
+            Self::Malformed { path, reason } => write!(f, "the configuration's {path}: {reason}"),
+            Self::BadSeed => f.write_str("the configuration's seed: not a hexadecimal number"),
+            Self::BadTime(path) => write!(f, "the configuration's {path}: not a usable time"),
+            Self::TooFewSockets { sockets, least } => {
+                write!(f, "the configuration's limits.sockets: {sockets} are too few, {least} at least")
+            }
+            Self::TooLittleMemory(megabytes) => {
+                let least = Config::LEAST_MEMORY_MB;
+                write!(f, "the configuration's limits.memory_mb: {megabytes} are too few, {least} at least")
             }
             Self::BadVariable(name) => write!(f, "{name} can't be understood"),
-            Self::Options(e) => write!(f, "the configuration's settings: {e}"),
         }
     }
 }
 
+impl std::error::Error for ConfigError {}
+
+/// The path of the whole file in an error.
+const WHOLE: &str = ".";
+/// The longest time that a limit may name, in seconds.
+const MAX_TIME: f64 = 3600.0;
+
 /// What a variable of the environment says; `None` where it is unset or empty.
 fn variable<T: FromStr>(name: &'static str) -> Result<Option<T>, ConfigError> {
     match env::var(name) {
@@ -117,42 +168,73 @@
         self.memory / Self::LIST_SHARE
     }
 
+    /// The file that `NODE_CONFIG` names.
+    pub fn path() -> Result<PathBuf, ConfigError> {
+        env::var_os("NODE_CONFIG").map(PathBuf::from).ok_or(ConfigError::NoPath)
+    }
+
     /// Reads the file that `NODE_CONFIG` names.
+    ///
+    /// # Errors
+    /// There is none, or it can't be used.
     pub fn load() -> Result<Self, ConfigError> {
-        let path = env::var_os("NODE_CONFIG").ok_or(ConfigError::NoPath)?;
-        Self::read(&std::fs::read(path).map_err(ConfigError::Unreadable)?)
+        Self::read(&std::fs::read(Self::path()?).map_err(ConfigError::Unreadable)?)
+    }
+
+    /// Reads a configuration; unknown keys are passed over.
+    ///
+    /// # Errors
+    /// It can't be used.
+    pub fn read(text: &[u8]) -> Result<Self, ConfigError> {
+        Self::read_noting(text, |_| {})
+    }
+
+    /// The same, and tells of each key that is passed over.
+    pub fn read_noting(text: &[u8], mut note: impl FnMut(serde_ignored::Path)) -> Result<Self, ConfigError> {
+        let mut reader = serde_json::Deserializer::from_slice(text);
+        let noting = serde_ignored::Deserializer::new(&mut reader, &mut note);
+        let document = serde_path_to_error::deserialize(noting).map_err(|error| {
+            let path = error.path().to_string();
+            ConfigError::Malformed { path, reason: error.into_inner() }
+        })?;
+        let whole = |reason| ConfigError::Malformed { path: WHOLE.to_owned(), reason };
+        reader.end().map_err(whole)?;
+        Self::check(document)
     }
 
-    fn read(text: &[u8]) -> Result<Self, ConfigError> {
-        let file: File<'_> = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
-        let mut options = Options::read(&file.settings).map_err(ConfigError::Options)?;
-        let usable = |v: f64| v > 0.0 && v <= 3600.0;
-        let times = [("ConnIdle", options.conn_idle), ("ConnectTimeout", options.connect_timeout)];
-        if let Some((key, _)) = times.into_iter().find(|(_, v)| !usable(*v)) {
-            return Err(ConfigError::BadTime(key));
+    fn check(document: ConfigDocument) -> Result<Self, ConfigError> {
+        let mut options = Options::from(document.settings);
+        let usable = |seconds: f64| seconds > 0.0 && seconds <= MAX_TIME;
+        let times = [
+            ("settings.Limits.ConnIdle", options.conn_idle),
+            ("settings.Limits.ConnectTimeout", options.connect_timeout),
+        ];
+        if let Some((path, _)) = times.into_iter().find(|(_, seconds)| !usable(*seconds)) {
+            return Err(ConfigError::BadTime(path));
         }
-        let operator = file.operator.map_or_else(|| variable("NODE_OPERATOR"), |addr| Ok(Some(addr)))?;
+        let operator = document.operator.map_or_else(|| variable("NODE_OPERATOR"), |addr| Ok(Some(addr)))?;
         let least = Self::LEAST_SOCKETS + operator.map_or(0, |_| Self::OPERATOR_SOCKETS);
-        if file.limits.sockets < least {
-            return Err(ConfigError::TooFewSockets(file.limits.sockets, least));
+        let LimitsDocument { sockets, memory_mb } = document.limits;
+        if sockets < least {
+            return Err(ConfigError::TooFewSockets { sockets, least });
         }
-        if file.limits.memory_mb < Self::LEAST_MEMORY_MB {
-            return Err(ConfigError::TooLittleMemory(file.limits.memory_mb));
+        if memory_mb < Self::LEAST_MEMORY_MB {
+            return Err(ConfigError::TooLittleMemory(memory_mb));
         }
-        let memory = file.limits.memory_mb.saturating_mul(1 << 20);
+        let memory = memory_mb.saturating_mul(1 << 20);
         options.settings.max_customers = memory / 4 / Self::CUSTOMER;
         Ok(Self {
-            name: file.name,
-            listen: file.listen,
-            discovery: file.discovery,
-            seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::BadSeed)?,
-            sockets: file.limits.sockets,
+            name: document.name,
+            listen: document.listen,
+            discovery: document.discovery,
+            seed: u64::from_str_radix(&document.seed, 16).map_err(|_| ConfigError::BadSeed)?,
+            sockets,
             memory,
-            counter: file.counter,
+            counter: document.counter,
             operator,
             accept_fd: variable("NODE_ACCEPT_FD")?,
-            known: file.known.workers(&options.zones),
-            version: file.known.version,
+            known: document.known.workers(&options.zones),
+            version: document.known.version,
             options,
         })
     }
--- a/src/node/wire/worker_list.rs
+++ b/src/node/wire/worker_list.rs
@@ -1,6 +1,7 @@
 //! The list of workers in discovery's form. It is read from its text without a copy of any of its strings.
 
 use oliverack::{Lifecycle, Server};
+use schemars::JsonSchema;
 use serde::Deserialize;
 use std::{
     borrow::Cow,
@@ -9,27 +10,36 @@
 };
 
 /// A list of workers, borrowed from its text.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 pub struct List<'a> {
+    /// Grows with each change.
     pub version: u64,
+    /// It names all workers, not only those that have changed.
     pub full: bool,
+    /// Its entries.
     #[serde(borrow)]
     servers: Vec<Entry<'a>>,
 }
 
 /// A worker as discovery shows it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, JsonSchema)]
 struct Entry<'a> {
+    /// The same at all gateways.
     #[serde(borrow)]
     id: Cow<'a, str>,
+    /// Where this gateway reaches it.
     #[serde(borrow, default)]
     addr: Cow<'a, str>,
+    /// The name of its zone.
     #[serde(borrow, default)]
     zone: Cow<'a, str>,
+    /// The number of its cell.
     #[serde(default)]
     cell: u32,
+    /// `SERVING`, `DRAINING` or `DELETED`; an entry with another one is passed over.
     #[serde(borrow)]
     state: Cow<'a, str>,
+    /// When it last started, in Unix time in milliseconds; 0: long ago.
     #[serde(default)]
     started_ms: f64,
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,11 +1,22 @@
-//! Reads the settings object as the operators write it: the module's settings, and the names and limits
-//! that whoever carries out the actions needs beside them.
+//! The policy's settings, and the names and limits that whoever carries out the actions needs beside them, as the
+//! settings object tells them.
 
-use crate::interface::*;
+use crate::settings::{Class, Effect, Group, Plan, Settings};
+use crate::settings_document::{
+    ClassDocument, Count, DiscoveryMode, DomainDocument, EffectName, GroupName, LimitsDocument, PlanDocument,
+    RulesDocument, SettingsDocument,
+};
 use serde_json::Value;
 use std::fmt;
 
-/// The settings object, read. Build one with [`Options::read`].
+/// How long a client waits, in seconds, where its class does not say.
+const DEFAULT_DEADLINE: f64 = 30.0;
+/// How long an idle connection stays open, in seconds, where the limits do not say.
+const DEFAULT_CONN_IDLE: f64 = 30.0;
+/// How long a connection may take to come up, in seconds, where the limits do not say.
+const DEFAULT_CONNECT_TIMEOUT: f64 = 0.25;
+
+/// The settings object, read. Build one with [`Options::read`] or from a [`SettingsDocument`].
 #[derive(Debug, Clone, Default, PartialEq)]
 #[non_exhaustive]
 pub struct Options {
@@ -25,129 +36,124 @@
     pub connect_timeout: f64,
 }
 
-/// Why a settings object could not be read.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// A settings object that could not be read.
+#[derive(Debug)]
 #[non_exhaustive]
-pub enum OptionsError {
-    /// The named key does not hold a number.
-    NotANumber(String),
-    /// A class has an effect of an unknown name.
-    UnknownEffect,
+pub struct OptionsError {
+    /// The path of the key at fault, such as `Classes[0].Effect`.
+    pub path: String,
+    /// What is wrong there.
+    pub reason: serde_json::Error,
 }
 
 impl fmt::Display for OptionsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotANumber(key) => write!(f, "Options.{key} is not a number"),
-            Self::UnknownEffect => f.write_str("Options.Classes.Effect is unknown"),
-        }
+        write!(f, "Options.{}: {}", self.path, self.reason)
     }
 }
 
 impl std::error::Error for OptionsError {}
 
-/// An object, read by key; unknown keys are ignored.
-struct Keys<'a>(&'a Value);
-
-impl<'a> Keys<'a> {
-    fn sub(&self, key: &str) -> Keys<'a> {
-        Keys(self.0.get(key).unwrap_or(&Value::Null))
-    }
-    fn list(&self, key: &str) -> &'a [Value] {
-        self.0.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+impl Options {
+    /// Reads a settings object; a missing key has its default.
+    ///
+    /// # Errors
+    /// A value of the wrong kind.
+    pub fn read(value: &Value) -> Result<Self, OptionsError> {
+        let document: Result<SettingsDocument, _> = serde_path_to_error::deserialize(value);
+        let document = document.map_err(|error| {
+            let path = error.path().to_string();
+            OptionsError { path, reason: error.into_inner() }
+        })?;
+        Ok(document.into())
     }
-    fn num(&self, key: &str, default: f64) -> Result<f64, OptionsError> {
-        match self.0.get(key) {
-            None | Some(Value::Null) => Ok(default),
-            Some(v) => v.as_f64().ok_or_else(|| OptionsError::NotANumber(key.to_owned())),
+}
+
+impl From<SettingsDocument> for Options {
+    fn from(document: SettingsDocument) -> Self {
+        let mut settings = Settings::default();
+        settings.me = count_or(document.me, settings.me);
+        settings.gateways = count_or(document.peers_total, settings.gateways);
+        settings.zone = count_or(document.locality, settings.zone);
+        settings.step = document.step.unwrap_or(settings.step);
+        settings.must_ask = document.discovery == Some(DiscoveryMode::Ask);
+        apply_domain(&mut settings, &document.domain.unwrap_or_default());
+        let limits = document.limits.unwrap_or_default();
+        apply_limits(&mut settings, &limits);
+        apply_rules(&mut settings, &document.rules.unwrap_or_default());
+        let (classes, plans) = (document.classes.unwrap_or_default(), document.plans.unwrap_or_default());
+        settings.classes = classes.iter().map(class).collect();
+        settings.plans = plans.iter().map(plan).collect();
+        let deadlines = classes.iter().map(|class| class.deadline.unwrap_or(DEFAULT_DEADLINE));
+        Self {
+            deadline: deadlines.fold(0.0, f64::max),
+            settings,
+            classes: classes.into_iter().map(|class| class.name.unwrap_or_default()).collect(),
+            plans: plans.into_iter().map(|plan| plan.name.unwrap_or_default()).collect(),
+            zones: document.dcs.unwrap_or_default(),
+            conn_idle: limits.conn_idle.unwrap_or(DEFAULT_CONN_IDLE),
+            connect_timeout: limits.connect_timeout.unwrap_or(DEFAULT_CONNECT_TIMEOUT),
         }
     }
-    fn flag(&self, key: &str) -> bool {
-        self.0.get(key).and_then(Value::as_bool).unwrap_or(false)
-    }
-    fn text(&self, key: &str) -> &'a str {
-        self.0.get(key).and_then(Value::as_str).unwrap_or("")
-    }
 }
 
-fn class(value: &Value) -> Result<Class, OptionsError> {
-    let keys = Keys(value);
-    let mut class = Class::default();
-    class.aim = keys.num("Slo", class.aim)?;
-    class.late_worth = keys.num("LateWorth", 0.0)?;
-    class.streamed = keys.flag("Streamed");
-    // A group of no known name promises no more than the narrowest does.
-    let group = match keys.text("Group") {
-        "all" => Group::All,
-        "zone" => Group::Zone,
-        _ => Group::Cell,
-    };
-    class.effect = match keys.text("Effect") {
-        "idempotent" => Effect::Safe,
-        "deduplicated" => Effect::Keyed { group, window: keys.num("Window", 0.0)? },
-        "at_most_once" => Effect::Unsafe,
-        _ => return Err(OptionsError::UnknownEffect),
-    };
-    Ok(class)
+fn count_or(count: Option<Count>, default: u32) -> u32 {
+    count.map_or(default, |Count(count)| count)
 }
 
-fn plan(value: &Value) -> Result<Plan, OptionsError> {
-    let keys = Keys(value);
-    Ok(Plan {
-        rate: keys.num("QuotaRate", 0.0)?,
-        burst: keys.num("Depth", 0.0)?,
-        open: keys.num("Open", 0.0)? as u32,
-        pays: keys.num("Pays", 1.0)?,
-        excess_worth: keys.num("ExcessWorth", 0.0)?,
-        overrun_cost: keys.num("OverrunCost", 0.0)?,
-        ceiling_rate: keys.num("CeilingRate", 0.0)?,
-        ceiling_burst: keys.num("CeilingBurst", 0.0)?,
-    })
+fn apply_domain(settings: &mut Settings, domain: &DomainDocument) {
+    settings.has_counter = domain.has_counter.unwrap_or(false);
+    settings.count_limit = domain.count_limit.unwrap_or(settings.count_limit);
+    settings.max_units = domain.max_units.unwrap_or(settings.max_units);
+    settings.post_paid = domain.post_paid.unwrap_or(false);
 }
 
-impl Options {
-    /// Reads a settings object; a missing key has its default.
-    ///
-    /// # Errors
-    /// A value of the wrong kind.
-    pub fn read(value: &Value) -> Result<Self, OptionsError> {
-        let keys = Keys(value);
-        let (limits, domain, rules) = (keys.sub("Limits"), keys.sub("Domain"), keys.sub("Rules"));
-        let mut s = Settings::default();
-        s.me = keys.num("Me", 0.0)? as u32;
-        s.gateways = keys.num("PeersTotal", 1.0)? as u32;
-        s.zone = keys.num("Locality", 0.0)? as u32;
-        s.step = keys.num("Step", s.step)?;
-        s.classes = keys.list("Classes").iter().map(class).collect::<Result<_, _>>()?;
-        s.plans = keys.list("Plans").iter().map(plan).collect::<Result<_, _>>()?;
-        s.must_ask = keys.text("Discovery") == "ask";
-        s.must_ask_in = rules.num("MustAskIn", s.must_ask_in)?;
-        s.has_counter = domain.flag("HasCounter");
-        s.count_limit = domain.num("CountLimit", s.count_limit)?;
-        s.max_units = domain.num("MaxUnits", s.max_units)?;
-        s.post_paid = domain.flag("PostPaid");
-        s.may_probe = limits.flag("MayProbe");
-        s.may_cancel = limits.flag("Cancelling");
-        s.second_copies = limits.flag("SecondCopies");
-        s.max_attempts = limits.num("SendCap", 1.0)? as u32;
-        s.max_open = limits.num("OpenCap", f64::from(u32::MAX))? as u32;
-        s.retry_after = limits.flag("RetryAfter");
-        s.max_retry_after = limits.num("MaxRetryAfter", s.max_retry_after)?;
-        s.cold_from = rules.num("ColdFrom", s.cold_from)?;
-        s.cold = rules.num("Cold", s.cold)?;
-        s.fall_multiple = rules.num("FallMultiple", s.fall_multiple)?;
-        s.fall = rules.num("Fall", s.fall)?;
-        let deadlines = keys.list("Classes").iter().map(|c| Keys(c).num("Deadline", 30.0));
-        let deadline = deadlines.collect::<Result<Vec<_>, _>>()?.into_iter().fold(0.0, f64::max);
-        let names = |key: &str| keys.list(key).iter().map(|v| Keys(v).text("Name").to_owned()).collect();
-        Ok(Self {
-            settings: s,
-            classes: names("Classes"),
-            plans: names("Plans"),
-            zones: keys.list("Dcs").iter().map(|z| z.as_str().unwrap_or("").to_owned()).collect(),
-            deadline,
-            conn_idle: limits.num("ConnIdle", 30.0)?,
-            connect_timeout: limits.num("ConnectTimeout", 0.25)?,
-        })
+fn apply_limits(settings: &mut Settings, limits: &LimitsDocument) {
+    settings.may_probe = limits.may_probe.unwrap_or(false);
+    settings.may_cancel = limits.cancelling.unwrap_or(false);
+    settings.second_copies = limits.second_copies.unwrap_or(false);
+    settings.max_attempts = count_or(limits.send_cap, settings.max_attempts);
+    settings.max_open = count_or(limits.open_cap, settings.max_open);
+    settings.retry_after = limits.retry_after.unwrap_or(false);
+    settings.max_retry_after = limits.max_retry_after.unwrap_or(settings.max_retry_after);
+}
+
+fn apply_rules(settings: &mut Settings, rules: &RulesDocument) {
+    settings.must_ask_in = rules.must_ask_in.unwrap_or(settings.must_ask_in);
+    settings.cold_from = rules.cold_from.unwrap_or(settings.cold_from);
+    settings.cold = rules.cold.unwrap_or(settings.cold);
+    settings.fall_multiple = rules.fall_multiple.unwrap_or(settings.fall_multiple);
+    settings.fall = rules.fall.unwrap_or(settings.fall);
+}
+
+fn class(document: &ClassDocument) -> Class {
+    let group = match document.group.unwrap_or(GroupName::Cell) {
+        GroupName::All => Group::All,
+        GroupName::Zone => Group::Zone,
+        GroupName::Cell => Group::Cell,
+    };
+    let effect = match document.effect {
+        EffectName::Idempotent => Effect::Safe,
+        EffectName::Deduplicated => Effect::Keyed { group, window: document.window.unwrap_or(0.0) },
+        EffectName::AtMostOnce => Effect::Unsafe,
+    };
+    Class {
+        aim: document.slo.unwrap_or(Class::default().aim),
+        late_worth: document.late_worth.unwrap_or(0.0),
+        effect,
+        streamed: document.streamed.unwrap_or(false),
+    }
+}
+
+fn plan(document: &PlanDocument) -> Plan {
+    Plan {
+        rate: document.quota_rate.unwrap_or(0.0),
+        burst: document.depth.unwrap_or(0.0),
+        open: count_or(document.open, 0),
+        pays: document.pays.unwrap_or(1.0),
+        excess_worth: document.excess_worth.unwrap_or(0.0),
+        overrun_cost: document.overrun_cost.unwrap_or(0.0),
+        ceiling_rate: document.ceiling_rate.unwrap_or(0.0),
+        ceiling_burst: document.ceiling_burst.unwrap_or(0.0),
     }
 }
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,154 @@
+//! The command line, on the built program.
+
+mod fakes;
+use fakes::*;
+use serde_json::{Value, json};
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+/// A configuration in a file of its own, removed with this.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("oliverack-check-{name}-{}", std::process::id()));
+        std::fs::write(&path, text).expect("a writable folder for temporary files");
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn program(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oliverack"));
+    ["NODE_CONFIG", "NODE_OPERATOR", "NODE_ACCEPT_FD", "OLIVERACK_LOG"].iter().for_each(|name| {
+        command.env_remove(name);
+    });
+    command.args(arguments).output().expect("the program starts")
+}
+
+fn check(file: &File) -> (bool, String, String) {
+    let output = program(&["check", file.0.to_str().expect("a plain path")]);
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (output.status.success(), text(output.stdout), text(output.stderr))
+}
+
+/// A configuration that can be used; no process is started on it.
+fn usable() -> Value {
+    let worker = Worker::start(Does::Holds);
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    setup.config()
+}
+
+fn with(pointer: &str, value: Value) -> String {
+    let mut config = usable();
+    *config.pointer_mut(pointer).expect("a key") = value;
+    config.to_string()
+}
+
+#[test]
+fn a_usable_configuration_passes_and_only_keys_that_nobody_knows_are_named() {
+    let mut config = usable();
+    // The protocol has these; the gateway has no use for them.
+    config["settings"]["Prices"] = json!({"Waste": 0.08});
+    config["settings"]["Classes"][0]["Worth"] = json!(2.0);
+    config["limits"]["cores"] = json!(1.0);
+    let file = File::new("usable", &config.to_string());
+    let (passes, said, errors) = check(&file);
+    assert!(passes && errors.is_empty(), "{errors}");
+    assert_eq!(said, format!("{}: usable\n", file.0.display()));
+    // Two that are spelled wrong.
+    config["settings"]["Limits"]["ConIdle"] = json!(3);
+    config["settings"]["Classes"][1]["slo"] = json!(3);
+    let file = File::new("unknown", &config.to_string());
+    let (passes, said, _) = check(&file);
+    let name = file.0.display();
+    let wanted = format!(
+        "{name}: unknown key settings.Classes[].slo\n{name}: unknown key settings.Limits.ConIdle\n{name}: usable\n"
+    );
+    assert!(passes);
+    assert_eq!(said, wanted);
+}
+
+#[test]
+fn what_is_wrong_is_said_in_one_line_with_the_path_of_the_key() {
+    let bad = [
+        ("listen", with("/listen", json!("nowhere"))),
+        ("seed", with("/seed", json!("xyz"))),
+        ("limits.sockets", with("/limits/sockets", json!(3))),
+        ("limits.sockets", with("/limits/sockets", json!("many"))),
+        ("limits.memory_mb", with("/limits/memory_mb", json!(1))),
+        ("known.servers[0].cell", with("/known/servers/0/cell", json!("hall"))),
+        ("settings.PeersTotal", with("/settings/PeersTotal", json!(0))),
+        ("settings.Me", with("/settings/Me", json!(7))),
+        ("settings.Step", with("/settings/Step", json!("soon"))),
+        ("settings.Classes[1].Effect", with("/settings/Classes/1/Effect", json!("twice"))),
+        ("settings.Classes[0].Slo", with("/settings/Classes/0/Slo", json!("soon"))),
+        ("settings.Limits.ConnIdle", with("/settings/Limits/ConnIdle", json!(-1))),
+        ("settings.Limits.SecondCopies", with("/settings/Limits/SecondCopies", json!("yes"))),
+        ("settings.Domain.CountLimit", with("/settings/Domain/CountLimit", json!(-1))),
+        ("settings.Plans[].QuotaRate", with("/settings/Plans/0/QuotaRate", json!(-1))),
+        ("malformed", "{".to_owned()),
+        ("malformed", usable().to_string() + "}"),
+    ];
+    for (path, text) in bad {
+        let (passes, said, errors) = check(&File::new("bad", &text));
+        assert!(!passes && said.is_empty(), "{path}: {said}");
+        assert!(errors.lines().count() == 1 && errors.starts_with("oliverack: "), "{path}: {errors}");
+        assert!(errors.contains(path), "{path}: {errors}");
+    }
+    let (passes, _, errors) = check(&File(std::env::temp_dir().join("oliverack-check-no-such-file")));
+    assert!(!passes && errors.lines().count() == 1, "{errors}");
+}
+
+#[test]
+fn the_schema_names_every_key_of_a_configuration() {
+    let output = program(&["schema"]);
+    assert!(output.status.success());
+    let schema: Value = serde_json::from_slice(&output.stdout).expect("a schema is JSON");
+    /// Follows references and alternatives to the schema of an object or a list.
+    fn resolve<'a>(schema: &'a Value, root: &'a Value) -> &'a Value {
+        if let Some(name) = schema["$ref"].as_str() {
+            return resolve(root.pointer(&name[1..]).expect("what it refers to"), root);
+        }
+        let choices = schema["anyOf"].as_array().into_iter().flatten();
+        let mut choices = choices.filter(|choice| choice["type"] != "null");
+        choices.next().map_or(schema, |choice| resolve(choice, root))
+    }
+    fn covers(schema: &Value, value: &Value, path: &str, root: &Value) {
+        let schema = resolve(schema, root);
+        match value {
+            Value::Object(keys) => keys.iter().for_each(|(key, value)| {
+                let known = &schema["properties"][key];
+                let unused = ["cores", "kind", "weight"].contains(&key.as_str());
+                assert!(!known.is_null() || unused, "{path}.{key} is not in {schema}");
+                covers(known, value, &format!("{path}.{key}"), root);
+            }),
+            Value::Array(items) => {
+                items.iter().for_each(|item| covers(&schema["items"], item, &format!("{path}[]"), root));
+            }
+            _ => {}
+        }
+    }
+    covers(&schema, &usable(), "", &schema);
+}
+
+#[test]
+fn help_and_version_are_told_and_a_command_that_is_none_fails() {
+    let help = program(&["--help"]);
+    let text = String::from_utf8(help.stdout).expect("text");
+    assert!(help.status.success());
+    ["check", "schema", "NODE_CONFIG", "OLIVERACK_LOG"].iter().for_each(|word| assert!(text.contains(word)));
+    let version = program(&["--version"]);
+    assert!(version.status.success());
+    assert_eq!(version.stdout, format!("oliverack {}\n", env!("CARGO_PKG_VERSION")).as_bytes());
+    assert!(!program(&["chek"]).status.success());
+    let errors = String::from_utf8(program(&[]).stderr).expect("text");
+    assert_eq!(errors, "oliverack: NODE_CONFIG names no file\n");
+}
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -43,7 +43,7 @@
 
 /// The layers of the node, each using only those before it; a name stands for the file or the folder.
 const LAYERS: [&[&str]; 4] = [
-    &["config", "left_out_file", "metrics", "processes", "wire"],
+    &["config", "config_check", "left_out_file", "metrics", "processes", "wire"],
     &["connection"],
     &["runtime"],
     &["descriptors", "drain", "listener", "reload", "start"],
