--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,16 @@
 //! oliverack: the gateway on real sockets, as a program.
 #![deny(unsafe_code)]
 
+mod command_line;
+mod logging;
 mod node;
 
-use std::process::ExitCode;
+use clap::Parser;
+use command_line::CommandLine;
+use std::{io, process::ExitCode};
 
 fn main() -> ExitCode {
-    match node::run_configured() {
+    match CommandLine::parse().run(&mut io::stdout()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("oliverack: {error}");
