--- a/lab/src/process/child.rs
+++ b/lab/src/process/child.rs
@@ -21,10 +21,8 @@
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// How long the program gets to finish its turn before its processor time is read.
 const REST: Duration = Duration::from_millis(5);
-/// What the program's log says once it listens.
-const LISTENING: &str = " listening ";
-/// What stands before the address that it has bound.
-const ADDRESS: &str = " address=";
+/// What the program's log says before the address that it has bound.
+const LISTEN: &str = "listen";
 /// Lines of the log that are kept.
 const KEPT_LINES: usize = 20;
 
@@ -177,10 +175,11 @@
     Ok(file)
 }
 
-/// The address that a line of the log says the program listens on.
+/// The address that a line of the log says the program listens on: its last word, or its last field's value. So
+/// programs of earlier forms of the log can be compared.
 fn bound_address(line: &str) -> Option<SocketAddr> {
-    let (_, address) = line.split_once(LISTENING)?.1.split_once(ADDRESS)?;
-    address.trim().parse().ok()
+    let (_, rest) = line.split_once(LISTEN)?;
+    rest.rsplit([' ', '=']).next()?.trim().parse().ok()
 }
 
 /// Keeps the last lines of the log, and tells of the address that it names.
--- a/lab/src/process/error.rs
+++ b/lab/src/process/error.rs
@@ -47,6 +47,13 @@
         /// Calls a request that are needed at least.
         least: f64,
     },
+    /// A request costs more of the baseline's processor time than the bound.
+    OverBound {
+        /// Over the baseline's.
+        ratio: f64,
+        /// The most.
+        bound: f64,
+    },
     /// A checked run has crossed bounds, or rows of it have failed.
     Check(Vec<CheckFailure>),
 }
@@ -72,6 +79,7 @@
                     "the counter was called {calls} times in {sent} requests, fewer than {least} a request"
                 )
             }
+            Self::OverBound { ratio, bound } => write!(f, "the ratio of {ratio:.4} is over {bound}"),
             Self::Check(failures) => {
                 let failures: Vec<String> = failures.iter().map(CheckFailure::to_string).collect();
                 write!(f, "the check failed: {}", failures.join("; "))
--- a/lab/src/process/mod.rs
+++ b/lab/src/process/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod bounds;
 pub mod child;
+pub mod compare;
 pub mod error;
 pub mod http;
 pub mod load;
@@ -34,6 +35,8 @@
     Program(program::Arguments),
     /// Measures the policy alone, inside this process: processor time and bytes of state.
     Policy(policy::Arguments),
+    /// Compares what a request costs two builds of the program, in one run.
+    Compare(compare::Arguments),
 }
 
 /// Runs the command: measures, prints the table, and writes the JSON lines where a file is named.
@@ -45,5 +48,6 @@
     match &arguments.part {
         Part::Program(arguments) => program::run(arguments),
         Part::Policy(arguments) => policy::run(arguments),
+        Part::Compare(arguments) => compare::run(arguments),
     }
 }
