--- a/src/node/connection/siblings.rs
+++ b/src/node/connection/siblings.rs
@@ -5,7 +5,7 @@
 //! elder. An open connection between two means that both are there; its end, however it came, that the other has
 //! gone. Messages are lines of JSON.
 
-use crate::node::{left_out_file, processes::Processes};
+use crate::node::{left_out_file::SharedFolder, processes::Processes};
 use oliverack::{Memory, ServerId};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -148,9 +148,9 @@
 /// Calls the elder siblings, takes over what they know, and listens for younger ones; whether there was an
 /// elder. Without a folder, or one that takes no socket, this process stands alone.
 pub async fn meet(siblings: &Rc<Siblings>, handler: &Handler) -> (bool, Option<SiblingListener>) {
-    let Some((folder, name)) = left_out_file::place(&siblings.node) else { return (false, None) };
+    let Some(folder) = SharedFolder::of(&siblings.node) else { return (false, None) };
     let mut met = false;
-    for path in sockets(&folder, &name) {
+    for path in sockets(&folder) {
         match call(siblings, handler, &path).await {
             Ok(()) => met = true,
             Err(Fault::Socket(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
@@ -160,7 +160,7 @@
             Err(fault) => warn!(path = %path.display(), reason = %fault, "no sibling process listens there"),
         }
     }
-    let path = folder.join(format!("{name}.{}{ENDING}", process::id()));
+    let path = folder.path(&format!(".{}{ENDING}", process::id()));
     // Of a process that had this number before.
     let _ = fs::remove_file(&path);
     match UnixListener::bind(&path) {
@@ -173,14 +173,14 @@
 }
 
 /// The sockets of this node's processes, as far as they may be siblings.
-fn sockets(folder: &Path, name: &str) -> Vec<PathBuf> {
-    let Ok(entries) = fs::read_dir(folder) else { return Vec::new() };
-    let ours = |path: &PathBuf| {
-        let file = path.file_name().and_then(|n| n.to_str());
-        let number = file.and_then(|n| n.strip_prefix(name)?.strip_prefix('.')?.strip_suffix(ENDING));
-        number.is_some_and(|n| n.bytes().all(|b| b.is_ascii_digit()))
+fn sockets(folder: &SharedFolder) -> Vec<PathBuf> {
+    let is_numbered = |rest: &str| {
+        let number = rest.strip_prefix('.').and_then(|rest| rest.strip_suffix(ENDING));
+        number.is_some_and(|number| !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit()))
     };
-    entries.flatten().map(|entry| entry.path()).filter(ours).take(MOST).collect()
+    let mut sockets = folder.files(is_numbered);
+    sockets.truncate(MOST);
+    sockets
 }
 
 async fn call(siblings: &Rc<Siblings>, handler: &Handler, path: &Path) -> Result<(), Fault> {
--- a/src/node/left_out_file.rs
+++ b/src/node/left_out_file.rs
@@ -3,7 +3,12 @@
 
 use oliverack::ServerId;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeSet, env, fmt, fs, io, path::PathBuf, process};
+use std::{
+    collections::BTreeSet,
+    env, fmt, fs, io,
+    path::{Path, PathBuf},
+    process,
+};
 
 /// Longest file that is read: far more workers than any list names.
 const MOST: u64 = 1 << 20;
@@ -37,37 +42,84 @@
     }
 }
 
-/// The folder that `TMPDIR` names, and a start for the names of this node's files in it; `None` without one, as
-/// a folder for all would mix up the nodes of one machine.
-pub fn place(node: &str) -> Option<(PathBuf, String)> {
-    let folder = env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
-    // Short and plain, whatever the node is called; two that come out alike are told apart by what is inside.
-    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
-    let name: String = node.chars().take(32).map(plain).collect();
-    Some((folder.into(), format!("oliverack-{name}")))
+/// What the names of files in the shared folder begin with.
+const PREFIX: &str = "oliverack";
+/// Most characters of the node's name in them.
+const MAX_NAME: usize = 32;
+/// The ending of the file's name.
+const ENDING: &str = ".out.json";
+
+/// This node's files in the folder that processes share with their successors.
+#[derive(Debug, Clone)]
+pub struct SharedFolder {
+    folder: PathBuf,
+    /// The node's name as names of files have it.
+    node: String,
+}
+
+impl SharedFolder {
+    /// The folder that `TMPDIR` names; `None` without one, as a folder for all would mix up the nodes of one machine.
+    pub fn of(node: &str) -> Option<Self> {
+        let folder = env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+        // Short and plain, whatever the node is called; two that come out alike are told apart by what is inside.
+        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+        let node = node.chars().take(MAX_NAME).map(plain).collect();
+        Some(Self { folder: folder.into(), node })
+    }
+
+    /// Where this process writes a file that ends in `ending`.
+    pub fn path(&self, ending: &str) -> PathBuf {
+        self.folder.join(format!("{PREFIX}-{}{ending}", self.node))
+    }
+
+    /// The files that `is_wanted` by what follows the node's name, whatever they begin with: a program of another
+    /// version may call its files by another name.
+    pub fn files(&self, is_wanted: impl Fn(&str) -> bool) -> Vec<PathBuf> {
+        let Ok(entries) = fs::read_dir(&self.folder) else { return Vec::new() };
+        let node = format!("-{}.", self.node);
+        let is_ours = |path: &PathBuf| {
+            let name = path.file_name().and_then(|name| name.to_str());
+            // The ending's own point belongs to it.
+            let rest = name.and_then(|name| name.rfind(&node).map(|at| &name[at + node.len() - 1..]));
+            rest.is_some_and(&is_wanted)
+        };
+        entries.flatten().map(|entry| entry.path()).filter(is_ours).collect()
+    }
 }
 
 /// Where the workers left out are kept.
 pub struct LeftOutFile {
     node: String,
     path: PathBuf,
+    folder: SharedFolder,
 }
 
 impl LeftOutFile {
+    /// That of a node; `None`: there is no folder for it.
     pub fn new(node: &str) -> Option<Self> {
-        let (folder, name) = place(node)?;
-        Some(Self { node: node.to_owned(), path: folder.join(name + ".out.json") })
+        let folder = SharedFolder::of(node)?;
+        Some(Self { node: node.to_owned(), path: folder.path(ENDING), folder })
     }
 
-    /// What was kept last; nothing without a file.
+    /// What was kept last; nothing without a file. Where this program has kept none, what one of another name has.
+    ///
+    /// # Errors
+    /// This program's own file can't be read.
     pub fn load(&self) -> Result<Vec<ServerId>, LeftOutFileError> {
-        match fs::metadata(&self.path) {
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
-            Err(e) => return Err(LeftOutFileError::File(e)),
-            Ok(file) if file.len() > MOST => return Err(LeftOutFileError::Foreign),
-            Ok(_) => {}
+        match self.read(&self.path) {
+            Err(LeftOutFileError::File(e)) if e.kind() == io::ErrorKind::NotFound => {}
+            read => return read,
+        }
+        // Another node's file may end alike: what can't be read here is not this one's.
+        let others = self.folder.files(|rest| rest == ENDING);
+        Ok(others.iter().find_map(|path| self.read(path).ok()).unwrap_or_default())
+    }
+
+    fn read(&self, path: &Path) -> Result<Vec<ServerId>, LeftOutFileError> {
+        if fs::metadata(path).map_err(LeftOutFileError::File)?.len() > MOST {
+            return Err(LeftOutFileError::Foreign);
         }
-        let text = fs::read(&self.path).map_err(LeftOutFileError::File)?;
+        let text = fs::read(path).map_err(LeftOutFileError::File)?;
         let file: File = serde_json::from_slice(&text).map_err(LeftOutFileError::Malformed)?;
         if file.form != FORM || file.node != self.node {
             return Err(LeftOutFileError::Foreign);
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -173,6 +173,34 @@
     }
 }
 
+#[test]
+fn an_upgrade_from_a_program_of_another_name_keeps_workers_out_and_meets_its_process() {
+    let (one, two) = (Worker::start(Does::Serves("one")), Worker::start(Does::Serves("two")));
+    let (setup, _discovery) = operated(&[&one, &two]);
+    let (socket, folder) = (TcpListener::bind("127.0.0.1:0").expect("a free port"), Folder::new("renamed"));
+    let start =
+        || setup.start_as(Start { socket: Some(&socket), folder: Some(&folder.0), ..Start::default() });
+    let rename = |from: &str, to: &str| std::fs::rename(folder.0.join(from), folder.0.join(to));
+    // As the earlier program called its files.
+    let old = start();
+    assert_eq!(old.call("PUT /workers/w0/maint").status(), 200);
+    rename("oliverack-n0.out.json", "earlier-n0.out.json").expect("it was kept");
+    let name = format!("n0.{}.sock", old.child.id());
+    rename(&format!("oliverack-{name}"), &format!("earlier-{name}")).expect("its socket");
+    // Another node's, which ends alike.
+    let other = r#"{"form":1,"node":"a-n0","out":["w1"]}"#;
+    std::fs::write(folder.0.join("another-a-n0.out.json"), other).expect("a folder");
+    let new = start();
+    old.says("processes=2");
+    let served = |node: &Node, tag: &str| {
+        (0..20).for_each(|i| assert_eq!(node.ask(&Ask::submit(&format!("{tag}{i}"))).body, b"two"));
+    };
+    served(&new, "both");
+    drop((old, new));
+    // After a kill of both the file alone tells.
+    served(&start(), "alone");
+}
+
 #[test]
 fn figures_tell_what_clients_and_workers_have_seen() {
     let (one, two) = (Worker::start(Does::Serves("ok")), Worker::start(Does::Serves("ok")));
