--- /dev/null
+++ b/lab/src/demo.rs
@@ -0,0 +1,132 @@
+//! The `demo` command: the built program before stand-ins on this machine, for a first look by hand.
+
+use crate::process::{
+    Error,
+    stand_in_counter::StandInCounter,
+    stand_in_discovery::{Entry, List, StandInDiscovery, State},
+    stand_in_workers::StandInWorkers,
+};
+use serde_json::{Value, json};
+use std::{
+    io::Write,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::NamedTempFile;
+
+/// Workers behind the gateway.
+const WORKERS: usize = 4;
+/// The one class of requests.
+const CLASS: &str = "lookup";
+/// The plan with a quota of a few requests.
+const PLAN: &str = "small";
+/// Between looks whether the program has ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Arguments of the `demo` command.
+#[derive(Debug, clap::Args)]
+pub struct Arguments {
+    /// The built program.
+    #[arg(long, default_value = concat!(env!("CARGO_MANIFEST_DIR"), "/../target/release/oliverack"))]
+    program: PathBuf,
+    /// Where clients connect.
+    #[arg(long, default_value = "127.0.0.1:8080")]
+    listen: SocketAddr,
+    /// Where operators call.
+    #[arg(long, default_value = "127.0.0.1:8081")]
+    operator: SocketAddr,
+    /// Ends after so many seconds; without it, when it is interrupted.
+    #[arg(long)]
+    seconds: Option<u64>,
+}
+
+/// Where the parts of a demonstration are.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where operators call.
+    pub operator: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// Where the counter listens.
+    pub counter: SocketAddr,
+}
+
+/// The program's configuration: one plan of three requests at once and one every two seconds.
+pub fn configuration(addresses: Addresses, workers: &[Entry]) -> Value {
+    json!({
+        "name": "demo",
+        "listen": addresses.listen,
+        "operator": addresses.operator,
+        "discovery": addresses.discovery,
+        "counter": addresses.counter,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "known": List { version: 0, full: true, servers: workers },
+        "settings": {
+            "Classes": [{"Name": CLASS, "Effect": "idempotent", "Slo": 2.0, "Deadline": 5.0}],
+            "Plans": [{"Name": PLAN, "QuotaRate": 0.5, "Depth": 3.0, "OverrunCost": 1.0}],
+            "Dcs": ["zone-a"],
+            "Domain": {"HasCounter": true, "CountLimit": 0.05, "MaxUnits": 1},
+            "Limits": {"ConnIdle": 30.0, "ConnectTimeout": 0.25, "SendCap": 3, "RetryAfter": true,
+                "MaxRetryAfter": 10.0, "OpenCap": 1000},
+        },
+    })
+}
+
+/// Ended with this.
+struct KilledOnDrop(Child);
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // Both fail only for a process that has ended.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts the stand-ins and the program, and waits until that ends or its time is up.
+///
+/// # Errors
+/// One of them does not start.
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    if !arguments.program.is_file() {
+        return Err(Error::NoProgram(arguments.program.clone()));
+    }
+    let workers = StandInWorkers::start()?;
+    let entry = |number| Entry::new(number, workers.address(number), State::Serving);
+    let entries: Vec<Entry> = (0..WORKERS).map(entry).collect();
+    let (discovery, counter) = (StandInDiscovery::start(entries.clone())?, StandInCounter::start()?);
+    let addresses = Addresses {
+        listen: arguments.listen,
+        operator: arguments.operator,
+        discovery: discovery.address,
+        counter: counter.address,
+    };
+    let system = |operation| move |error| Error::System(operation, error);
+    let mut file = NamedTempFile::new().map_err(system("writing the program's configuration"))?;
+    let text = configuration(addresses, &entries).to_string();
+    file.write_all(text.as_bytes()).map_err(system("writing the program's configuration"))?;
+    let program = start(&arguments.program, file.path()).map_err(system("starting the program"))?;
+    println!("configuration: {}", file.path().display());
+    wait(KilledOnDrop(program), arguments.seconds.map(Duration::from_secs))
+        .map_err(system("waiting for the program"))
+}
+
+fn start(program: &Path, configuration: &Path) -> std::io::Result<Child> {
+    let mut command = Command::new(program);
+    command.env("NODE_CONFIG", configuration).env_remove("NODE_OPERATOR").env_remove("NODE_ACCEPT_FD");
+    command.stdin(Stdio::null()).spawn()
+}
+
+fn wait(mut program: KilledOnDrop, limit: Option<Duration>) -> std::io::Result<()> {
+    let begun = Instant::now();
+    while program.0.try_wait()?.is_none() && limit.is_none_or(|limit| begun.elapsed() < limit) {
+        thread::sleep(LOOK);
+    }
+    Ok(())
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,5 +4,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod demo;
 pub mod fleet;
 pub mod process;
--- /dev/null
+++ b/lab/tests/demo.rs
@@ -0,0 +1,53 @@
+//! What the demonstration shows, as the policy decides it.
+
+use oliverack::{Action, Event, Gateway, Lifecycle, ListKind, Options, Request, Server, Status};
+use oliverack_lab::{
+    demo::{Addresses, configuration},
+    process::stand_in_discovery::{Entry, State},
+};
+
+fn addresses() -> Addresses {
+    let nowhere = "127.0.0.1:0".parse().expect("an address");
+    Addresses { listen: nowhere, operator: nowhere, discovery: nowhere, counter: nowhere }
+}
+
+#[test]
+fn three_requests_at_once_are_sent_and_the_fourth_is_told_when_to_come_back() {
+    let entry = Entry::new(0, "127.0.0.1:9".parse().expect("an address"), State::Serving);
+    let configuration = configuration(addresses(), &[entry]);
+    let options = Options::read(&configuration["settings"]).expect("readable");
+    let mut gateway = Gateway::new(options.settings, 7).expect("usable");
+    let (mut now, mut actions) = (100.0, Vec::new());
+    let server = Server { id: "w".into(), zone: 0, cell: 0, started: 0.0, lifecycle: Lifecycle::Running };
+    gateway.handle(now, Event::List { kind: ListKind::Stale, servers: vec![server] }, &mut actions);
+    let (mut sent, mut refused, mut total) = (0, Vec::new(), 0.0);
+    for number in 0..4 {
+        let request = Request {
+            job: format!("j{number}").into(),
+            units: 1.0,
+            expires: now + 5.0,
+            plan: 0,
+            spread: 1,
+            first: 0,
+            class: 0,
+            customer: "c".into(),
+            repeat: false,
+        };
+        gateway.handle(now, Event::Request(request), &mut actions);
+        while let Some(action) = (!actions.is_empty()).then(|| actions.remove(0)) {
+            match action {
+                Action::Count { counter, amount, .. } => {
+                    total += amount;
+                    let event = Event::Counted { counter, status: Status::Ok, total, spent: 0.001 };
+                    gateway.handle(now, event, &mut actions);
+                }
+                Action::Send { .. } => sent += 1,
+                Action::Refuse { retry_after, .. } => refused.push(retry_after),
+                _ => {}
+            }
+        }
+        now += 0.01;
+    }
+    assert_eq!((sent, refused.len()), (3, 1));
+    assert!(refused[0] > 1.0 && refused[0] <= 2.0, "at one in two seconds: {refused:?}");
+}
