--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -34,12 +34,27 @@
     (patient(setup), discovery)
 }
 
+/// A gateway whose one worker is late, and a client that has connected.
+struct Scene {
+    late: Late,
+    node: Node,
+    client: Client,
+    _discovery: Discovery,
+}
+
+impl Scene {
+    fn new() -> Self {
+        let late = Late::start();
+        let (setup, discovery) = only(&late);
+        let node = setup.start();
+        let client = node.client();
+        Self { late, node, client, _discovery: discovery }
+    }
+}
+
 #[test]
 fn an_attempt_that_waits_for_its_connection_ends_when_its_client_leaves() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     client.send(&ask("gone"));
     late.awaited(1);
     drop(client);
@@ -48,10 +63,7 @@
 
 #[test]
 fn a_client_that_leaves_behind_more_than_is_read_is_seen_to_leave() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     // More requests than the gateway reads while one is in hand.
     for i in 0..100 {
         client.send(&ask(&format!("p{i}")).with("X-Other", &"x".repeat(500)));
@@ -63,10 +75,7 @@
 
 #[test]
 fn a_client_that_leaves_behind_more_than_the_system_holds_is_seen_to_leave() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     let pieces = client.reader.get_ref().try_clone().expect("a socket");
     // The close stands behind what the client's own system holds for ours.
     SockRef::from(&pieces).set_send_buffer_size(1 << 20).expect("a socket");
@@ -82,10 +91,7 @@
 
 #[test]
 fn requests_read_ahead_of_their_turn_are_answered_in_it() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     client.send(&ask("first"));
     late.awaited(1);
     for i in 0..40 {
@@ -98,10 +104,7 @@
 
 #[test]
 fn a_client_that_leaves_while_its_body_waits_for_a_connection_is_seen_to_leave() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     // Too large to be gathered; some of it has been read, some waits in the socket, the end never comes.
     let mut upload = Ask::submit("body").with("X-Remaining", "100.0").with("Content-Length", "4000000");
     upload.body = vec![b'x'; 60_000];
@@ -113,10 +116,7 @@
 
 #[test]
 fn a_client_that_leaves_behind_more_of_its_body_than_the_system_holds_is_seen_to_leave() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     let pieces = client.reader.get_ref().try_clone().expect("a socket");
     SockRef::from(&pieces).set_send_buffer_size(1 << 20).expect("a socket");
     drop(pieces);
@@ -130,10 +130,7 @@
 
 #[test]
 fn a_body_read_ahead_of_its_worker_goes_on_whole() {
-    let late = Late::start();
-    let (setup, _discovery) = only(&late);
-    let node = setup.start();
-    let mut client = node.client();
+    let Scene { late, node: _node, mut client, .. } = Scene::new();
     let mut upload = Ask::submit("body").with("X-Remaining", "100.0");
     upload.body = (0..900_000u32).map(|i| (i % 251) as u8).collect();
     client.send(&upload);
