--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -156,7 +156,7 @@
     fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
         match action {
             Action::Send { job, server, timeout, dedup_until } => {
-                self.send(now, job, server, timeout, dedup_until)
+                self.send(now, job, server, timeout, dedup_until);
             }
             Action::Refuse { job, retry_after } => self.refuse(&job, retry_after),
             Action::Fail { job } => self.fail(&job),
