--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -134,8 +134,7 @@
     }
 
     fn left(&self, job: &JobId) {
-        let waited =
-            self.open.borrow_mut().get_mut(job).is_some_and(super::open_requests::OpenRequest::abandon);
+        let waited = self.open.borrow_mut().get_mut(job).is_some_and(OpenRequest::abandon);
         if waited {
             self.wind_up(job);
             self.post(Event::Left { job: job.clone() });
