--- a/src/node/wire/client_request.rs
+++ b/src/node/wire/client_request.rs
@@ -20,12 +20,17 @@
 /// What goes on to a worker.
 #[derive(Debug)]
 pub struct UpstreamRequest {
+    /// The client's.
     pub method: Method,
+    /// Path and query, the client's.
     pub uri: Uri,
+    /// The request's name, new for every request of a client.
     pub txn: HeaderValue,
     /// By it the workers of a group tell a repeat: without it a keyed request is another one.
     pub idempotency_key: Option<HeaderValue>,
+    /// The client's.
     pub content_type: Option<HeaderValue>,
+    /// The client's, whole or in pieces.
     pub body: Content,
 }
 
@@ -55,14 +60,23 @@
 /// A request as a client brings it, in the terms of the settings.
 #[derive(Debug)]
 pub struct ClientRequest {
+    /// The index of its class.
     pub class: usize,
+    /// The index of its customer's plan.
     pub plan: usize,
+    /// Its customer, in the one spelling that all gateways name counts by.
     pub customer: String,
+    /// Units that it takes from the quota.
     pub units: f64,
+    /// How many gateways carry the customer's requests.
     pub spread: u32,
+    /// The number of the first of them.
     pub first: u32,
+    /// Seconds that the client waits for the answer.
     pub remaining: f64,
+    /// It is a client's marked retry.
     pub repeat: bool,
+    /// What goes on to a worker.
     pub upstream: UpstreamRequest,
 }
 
--- a/src/node/wire/request_head.rs
+++ b/src/node/wire/request_head.rs
@@ -17,11 +17,15 @@
 /// A request without its body.
 #[derive(Debug)]
 pub struct Head {
+    /// Its method.
     pub method: Method,
+    /// What it asks for.
     pub uri: Uri,
+    /// All headers, also those that are doubled.
     pub headers: HeaderMap,
+    /// How the end of its body is told.
     pub framing: Framing,
-    /// Of HTTP/1.
+    /// The minor version of HTTP/1.
     pub minor: u8,
     /// The client wants the connection kept.
     pub keep: bool,
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -162,3 +162,39 @@
         assert!(count <= MAX_LINES, "{}: {count} lines", path.display());
     }
 }
+
+/// The functions of a file and how many lines each has, by the indentation of their first and last lines.
+fn function_lengths(text: &str) -> Vec<(String, usize)> {
+    let indent = |line: &str| line.len() - line.trim_start().len();
+    let is_start = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().take_while(|word| *word != "fn").collect();
+        let known =
+            |word: &&str| ["pub", "async", "const", "unsafe"].contains(word) || word.starts_with("pub(");
+        line.split_whitespace().any(|word| word == "fn") && words.iter().all(known)
+    };
+    let mut open: Option<(String, usize, usize)> = None;
+    let mut lengths = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        if is_start(line) {
+            open = Some((line.trim().to_owned(), indent(line), number));
+        }
+        if let Some((name, _, start)) = open.take_if(|(_, at, _)| line.trim() == "}" && indent(line) == *at) {
+            lengths.push((name, number + 1 - start));
+        }
+    }
+    lengths
+}
+
+#[test]
+fn no_function_is_long() {
+    const MAX_LINES: usize = 59;
+    let text = "fn a() {\n    if b {\n    }\n}\n\nimpl C {\n    pub(super) async fn d() {\n    }\n}\n";
+    let lengths: Vec<usize> = function_lengths(text).into_iter().map(|(_, length)| length).collect();
+    assert_eq!(lengths, [4, 2]);
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    for path in [root.join("src"), root.join("lab/src")].iter().flat_map(|folder| rust_files(folder)) {
+        for (name, length) in function_lengths(&fs::read_to_string(&path).expect("text")) {
+            assert!(length <= MAX_LINES, "{}: {length} lines: {name}", path.display());
+        }
+    }
+}
