--- a/src/node/connection/counter_client.rs
+++ b/src/node/connection/counter_client.rs
@@ -239,7 +239,7 @@
 
 fn report(events: &EventSender, name: Option<u64>, status: Status, total: f64, spent: Duration) {
     if let Some(counter) = name {
-        events.post(Event::Counted { counter, status, total, spent: spent.as_secs_f64() });
+        events.clone().post(Event::Counted { counter, status, total, spent: spent.as_secs_f64() });
     }
 }
 
--- a/src/node/connection/events.rs
+++ b/src/node/connection/events.rs
@@ -6,7 +6,7 @@
 /// Takes events, one at a time.
 pub trait EventSink {
     /// Something has happened.
-    fn post(&self, event: Event);
+    fn post(self: Rc<Self>, event: Event);
 }
 
 /// A shared way to tell of events.
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -110,7 +110,7 @@
 
     /// Tells the policy of what connections tell.
     pub(super) fn sender(self: &Rc<Self>) -> EventSender {
-        Rc::new(self.clone())
+        self.clone()
     }
 
     /// Connects to the counter before the first call needs it.
@@ -211,9 +211,9 @@
     }
 }
 
-impl EventSink for Rc<Driver> {
-    fn post(&self, event: Event) {
-        Driver::post(self, event);
+impl EventSink for Driver {
+    fn post(self: Rc<Self>, event: Event) {
+        Driver::post(&self, event);
     }
 }
 
