--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Runs case 3: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
-driver=target/review/release/hung_workers
+driver=target/review/release/memory_limit
 if [ ! -x "$driver" ] || [ ! -x target/release/oliverack ]; then
     echo "not built: run the build of deploy/balancer.toml and review/build.sh" >&2
     exit 2
--- a/review/harness/src/bin/memory_limit.rs
+++ b/review/harness/src/bin/memory_limit.rs
@@ -1,4 +1,4 @@
-//! Case 2: many clients take long answers slowly, at 64 kB a second. The gateways must stay within their memory. The
+//! Case 3: many clients take long answers slowly, at 64 kB a second. The gateways must stay within their memory. The
 //! platform, which this program stands in for, kills a gateway that is over it.
 
 use review_harness::{
@@ -58,7 +58,7 @@
 
 fn request(number: usize) -> Request {
     Request {
-        txn: format!("c2{number:014x}"),
+        txn: format!("c3{number:014x}"),
         class: "tide-feed",
         plan: "agente",
         customer: 10_000 + number as u64,
