Close the connection after a refused upload with Expect

Cause: BodyUpload::run reported an upload without an unread body if the final response was there before 100 Continue was sent, so the connection was kept and the body, which a client may send unasked, was read as requests.

Change: such an upload counts as unread, which closes the connection. The gateway now shuts down its sending side before it discards the rest of a body, so that a client that sends none sees the end at once.

--- a/src/node/connection/clients/body_upload.rs
+++ b/src/node/connection/clients/body_upload.rs
@@ -32,7 +32,7 @@
     /// The final response arrived before the upload was complete.
     ResponseArrived {
         response: FinalResponse,
-        /// Decoder for the rest of the body, which must be discarded; `None` if the client sends no more of it.
+        /// Decoder for the rest of the body, which must be discarded; `None` if the body was read whole.
         unread_body_decoder: Option<BodyDecoder>,
     },
 }
@@ -58,8 +58,11 @@
     ) -> Result<UploadOutcome, ConnectionEnd> {
         if expects_continue && socket.buffer.is_empty() && self.pending.is_empty() {
             if let Ok(response) = response_receiver.try_recv() {
-                // The client was not asked to send the body, so nothing has to be discarded.
-                return Ok(UploadOutcome::ResponseArrived { response, unread_body_decoder: None });
+                // A client may send the body without having been asked for it.
+                return Ok(UploadOutcome::ResponseArrived {
+                    response,
+                    unread_body_decoder: Some(self.decoder),
+                });
             }
             socket.send_continue().await;
         }
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -139,8 +139,10 @@
             .map_err(|_| ConnectionEnd::WithoutResponse)
     }
 
-    /// Discards the rest of the request body and closes the connection, so that the client can read the response.
+    /// Closes the connection. Shuts down the sending side first, so that a client that waits for the end of the
+    /// connection sends no more; then discards the rest of the request body, so that the client can read the response.
     pub async fn close(mut self) {
+        self.socket.shut_down_sending().await;
         self.discard_unread_body().await;
         drop(self.memory);
         self.socket.linger().await;
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -147,6 +147,11 @@
             && self.context.memory.has_headroom_for(MAX_FRAME_BYTES)
     }
 
+    /// Shuts down the sending side. Ignores a failure, because a later read detects the disconnect.
+    pub async fn shut_down_sending(&mut self) {
+        let _ = self.tcp.shutdown().await;
+    }
+
     /// Shuts down the sending side and discards input until the client closes, so that the last response arrives. The
     /// number of reads and the time limit of [`Stage::Closing`] bound the wait.
     pub async fn linger(&mut self) {
