Send no interim response to an HTTP/1.0 client

Callers would see: an HTTP/1.0 client with Expect: 100-continue takes the interim response for the final one, and every later response on its connection for the next request's.

Cause: the parser of heads read Expect without looking at the version. A server must ignore it in HTTP/1.0 (RFC 9110, 10.1.1).

Evidence: the new test got 100 where 200 was due, and passes now.

Change: Expect counts from HTTP/1.1 on only, so the body is read as without it.

--- a/src/node/wire/request_head.rs
+++ b/src/node/wire/request_head.rs
@@ -64,7 +64,7 @@
     pub minor_version: u8,
     /// True if the client allows the connection to stay open after the response.
     pub allows_keep_alive: bool,
-    /// True if the client waits for `100 Continue` before it sends the body.
+    /// True if the client may wait for `100 Continue` before it sends the body. HTTP/1.0 has no interim responses.
     pub expects_continue: bool,
 }
 
@@ -122,14 +122,13 @@
     let headers = to_header_map(request.headers)?;
     let allows_keep_alive = !has_connection_option(&headers, "close")
         && (minor_version == 1 || has_connection_option(&headers, "keep-alive"));
-    let expect = headers.get(header::EXPECT);
     let head = RequestHead {
         method: Method::from_bytes(method.as_bytes()).map_err(|_| HeadError::MalformedRequestLine)?,
         uri: Uri::try_from(path).map_err(|_| HeadError::MalformedRequestLine)?,
         framing: parse_framing(&headers, minor_version)?,
         minor_version,
         allows_keep_alive,
-        expects_continue: expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue")),
+        expects_continue: minor_version > 0 && has_continue_expectation(&headers),
         headers,
     };
     Ok(Some(ParsedHead { head, length }))
@@ -151,6 +150,11 @@
     values.flat_map(|value| value.split(',')).any(|name| name.trim().eq_ignore_ascii_case(option))
 }
 
+fn has_continue_expectation(headers: &HeaderMap) -> bool {
+    let expect = headers.get(header::EXPECT);
+    expect.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
 /// Determines the framing of the body: one plain length, chunks, or no body. Rejects two lengths, and a length with an
 /// encoding, because they may hide a second request inside the body of the first (request smuggling).
 fn parse_framing(headers: &HeaderMap, minor_version: u8) -> Result<Framing, HeadError> {
--- a/tests/unread_body.rs
+++ b/tests/unread_body.rs
@@ -159,3 +159,26 @@
     // The client sends nothing more and waits for the end of the connection.
     assert_eq!(client.read_until_closed(), "");
 }
+
+/// Guards against an interim response to an HTTP/1.0 client, which would take it for the final one.
+#[test]
+fn http_1_0_request_with_expect_gets_no_interim_response() {
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::Respond("ok"));
+    let (builder, _discovery) = NodeBuilder::new(&[&endpoint]);
+    let node = builder.start();
+    for body_length in BODY_LENGTHS {
+        let form = UploadForm {
+            version: "1.0",
+            is_chunked: false,
+            expects_continue: true,
+            is_body_immediate: false,
+            body_length,
+        };
+        let (head, body) = head_and_body(&TestRequest::at_most_once("old"), form);
+        let mut client = node.connect();
+        client.send(&head);
+        thread::sleep(CONTINUE_WAIT);
+        client.reader.get_mut().write_all(&body).expect("the gateway reads the body");
+        assert_eq!(client.read_response().map(|response| response.status()), Some(200));
+    }
+}
