--- a/src/node/assembly.rs
+++ b/src/node/assembly.rs
@@ -12,9 +12,6 @@
 use std::{net::SocketAddr, rc::Rc};
 use tokio::net::TcpListener;
 
-/// The memory of the process divided by this is the limit for request and response bodies in transit.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
 /// The parts of a gateway process.
 pub struct Node {
     /// The configuration, without the endpoint list.
@@ -72,6 +69,6 @@
         config.options.clone(),
         metrics.clone(),
         driver.replica_counts().clone(),
-        config.memory_bytes / BODY_MEMORY_DIVISOR,
+        driver.body_memory().clone(),
     )
 }
--- a/src/node/config/mod.rs
+++ b/src/node/config/mod.rs
@@ -35,6 +35,8 @@
 const CUSTOMER_BYTES: usize = 512;
 /// The memory of the process divided by this is the limit for the state of customers.
 const CUSTOMER_MEMORY_DIVISOR: usize = 4;
+/// The memory of the process divided by this is the limit for request and response bodies in transit.
+const BODY_MEMORY_DIVISOR: usize = 4;
 /// The memory of the process divided by this is the maximum length of an endpoint list's text. With 32 MB this is
 /// about 420 bytes for each of 10,000 endpoints; an indented entry has about 300 bytes. While the list is read, the
 /// parsed entries take less than half as much as the text, and the endpoint tables built from them take no more
@@ -136,6 +138,11 @@
         })
     }
 
+    /// Returns the maximum memory for the bodies of requests and responses in transit, in bytes.
+    pub fn body_memory_bytes(&self) -> usize {
+        self.memory_bytes / BODY_MEMORY_DIVISOR
+    }
+
     /// Returns the maximum length of an endpoint list's text, in bytes.
     pub fn max_list_bytes(&self) -> usize {
         self.memory_bytes / LIST_MEMORY_DIVISOR
--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -40,7 +40,7 @@
         self.socket.release_buffer();
         if let ConnectionEnd::WithStatus(status) = connection_end {
             self.socket.state.enter(Stage::WritingResponse);
-            let response = ClientResponse::without_body(status).render(false, 1);
+            let response = ClientResponse::without_body(status).render_head(false, 1);
             // A client that this response does not reach still sees the close.
             let _ = self.socket.tcp.write_all(&response).await;
             self.socket.linger().await;
@@ -98,15 +98,13 @@
     async fn serve_request(
         &mut self,
         request: ClientRequest,
-        body: ReceivedBody<'c>,
+        body: ReceivedBody,
         head: &RequestHead,
     ) -> Result<(), ConnectionEnd> {
-        let mut exchange = Exchange::new(&mut self.socket, body.memory);
+        let mut exchange = Exchange::new(&mut self.socket);
         let in_flight = self.context.metrics.request_started(request.class);
-        let response = match exchange.submit(request, body.content) {
-            Some(mut accepted) => {
-                exchange.wait_for_response(&mut accepted, head.expects_continue).await?.into()
-            }
+        let response = match exchange.submit(request, body) {
+            Some(mut accepted) => exchange.wait_for_response(&mut accepted, head.expects_continue).await?,
             None => ClientResponse::without_body(StatusCode::CONFLICT),
         };
         let keep_alive = may_keep_alive(self.context, &exchange, &response, head);
@@ -118,7 +116,7 @@
     async fn respond_without_handler(
         &mut self,
         status: StatusCode,
-        body: ReceivedBody<'c>,
+        body: ReceivedBody,
         head: &RequestHead,
     ) -> Result<(), ConnectionEnd> {
         let mut exchange = Exchange::without_handler(&mut self.socket, body);
--- a/src/node/connection/clients/context.rs
+++ b/src/node/connection/clients/context.rs
@@ -1,7 +1,7 @@
 //! State shared by the connections of all clients.
 
 use crate::node::{
-    connection::clients::{handler::RequestHandler, memory::BodyMemory},
+    connection::{body_memory::BodyMemory, clients::handler::RequestHandler},
     hot_restart::replica_counts::ReplicaCounts,
     metrics::Metrics,
 };
@@ -20,21 +20,20 @@
     /// Number of processes that share the budgets for connections and memory.
     pub replica_counts: Rc<ReplicaCounts>,
     /// Memory budget for bodies and streams.
-    pub memory: BodyMemory,
+    pub memory: Rc<BodyMemory>,
     /// True if a shutdown has begun; each response then closes its connection.
     pub is_stopping: Cell<bool>,
 }
 
 impl ConnectionContext {
-    /// Creates the shared state. Bodies of all clients and processes together hold at most `body_memory_bytes`.
+    /// Creates the shared state.
     pub fn new(
         handler: Box<dyn RequestHandler>,
         options: Options,
         metrics: Rc<Metrics>,
         replica_counts: Rc<ReplicaCounts>,
-        body_memory_bytes: usize,
+        memory: Rc<BodyMemory>,
     ) -> Self {
-        let memory = BodyMemory::new(body_memory_bytes, replica_counts.clone());
         Self { handler, options, metrics, replica_counts, memory, is_stopping: Cell::new(false) }
     }
 
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -1,44 +1,47 @@
 //! Exchange of one request and its final response on a client's connection.
 
 use crate::node::{
-    connection::clients::{
-        body_upload::{BodyUpload, UploadOutcome},
-        handler::{FinalResponse, RequestHandler},
-        memory::MemoryPermit,
-        request_reader::{ReceivedBody, ReceivedContent},
-        response_writer::{self, Delivery},
-        socket::ClientSocket,
-        state::{ConnectionEnd, Stage},
+    connection::{
+        body_memory::MemoryPermit,
+        clients::{
+            body_upload::{BodyUpload, UploadOutcome},
+            handler::{FinalResponse, RequestHandler},
+            request_reader::{ReceivedBody, ReceivedContent},
+            response_writer::{self, Delivery},
+            socket::ClientSocket,
+            state::{ConnectionEnd, Stage},
+        },
     },
     wire::{
-        client_request::ClientRequest,
-        client_response::ClientResponse,
-        request_body::BodyDecoder,
-        stream::{MAX_FRAME_BYTES, RequestBody},
+        client_request::ClientRequest, client_response::ClientResponse, request_body::BodyDecoder,
+        stream::RequestBody,
     },
 };
 use bytes::BytesMut;
 use oliverack::RequestId;
 use tokio::sync::oneshot;
 
+/// Largest number of bytes read at once of a body that is discarded. No memory is reserved for them.
+const DISCARD_READ_BYTES: usize = 4096;
+
 /// One request and its response on a connection.
 pub struct Exchange<'a, 'c> {
     socket: &'a mut ClientSocket<'c>,
-    /// Memory reserved for the request's body.
-    memory: MemoryPermit<'c>,
+    /// Memory reserved for the response's body.
+    response_memory: Option<MemoryPermit>,
     /// Decoder for the rest of a request body that must be discarded; `None` if there is none.
     unread_body_decoder: Option<BodyDecoder>,
 }
 
 impl<'a, 'c> Exchange<'a, 'c> {
-    /// Creates an exchange. `memory` is the reservation for the request's body.
-    pub fn new(socket: &'a mut ClientSocket<'c>, memory: MemoryPermit<'c>) -> Self {
-        Self { socket, memory, unread_body_decoder: None }
+    /// Creates an exchange.
+    pub fn new(socket: &'a mut ClientSocket<'c>) -> Self {
+        Self { socket, response_memory: None, unread_body_decoder: None }
     }
 
     /// Creates an exchange whose response does not come from the handler. The rest of the body stays unread.
-    pub fn without_handler(socket: &'a mut ClientSocket<'c>, body: ReceivedBody<'c>) -> Self {
-        Self { socket, memory: body.memory, unread_body_decoder: body.content.into_decoder() }
+    pub fn without_handler(socket: &'a mut ClientSocket<'c>, body: ReceivedBody) -> Self {
+        Self { socket, response_memory: None, unread_body_decoder: body.content.into_decoder() }
     }
 
     /// Returns whether the client may still send the rest of a body that is not needed. The connection must close then.
@@ -47,14 +50,10 @@
     }
 
     /// Hands the request to the handler; returns `None` if a request with the same transaction id is open.
-    pub fn submit(
-        &mut self,
-        mut request: ClientRequest,
-        content: ReceivedContent,
-    ) -> Option<AcceptedRequest<'c>> {
+    pub fn submit(&mut self, mut request: ClientRequest, body: ReceivedBody) -> Option<AcceptedRequest<'c>> {
         let handler = &*self.socket.context.handler;
         let mut upload = None;
-        request.upstream.body = match content {
+        request.upstream.body = match body.content {
             ReceivedContent::Complete(bytes) => RequestBody::Buffered(bytes),
             ReceivedContent::Partial { received, decoder, length } => {
                 let (sender, body) = RequestBody::streamed(length);
@@ -62,7 +61,7 @@
                 body
             }
         };
-        let Some((id, response_receiver)) = handler.accept(request) else {
+        let Some((id, response_receiver)) = handler.accept(request, body.memory) else {
             self.unread_body_decoder = upload.map(|upload| upload.decoder);
             return None;
         };
@@ -78,7 +77,7 @@
         &mut self,
         request: &mut AcceptedRequest<'_>,
         expects_continue: bool,
-    ) -> Result<FinalResponse, ConnectionEnd> {
+    ) -> Result<ClientResponse, ConnectionEnd> {
         let early_response = match request.upload.take() {
             Some(upload) => self.run_upload(upload, expects_continue, request).await?,
             None => None,
@@ -89,6 +88,9 @@
             None => self.receive_response(&mut request.response_receiver).await?,
         };
         request.has_response = true;
+        self.socket.release_empty_buffer();
+        let (response, memory) = response.into_client_response();
+        self.response_memory = memory;
         Ok(response)
     }
 
@@ -134,7 +136,8 @@
         keep_alive: bool,
         minor_version: u8,
     ) -> Result<Delivery, ConnectionEnd> {
-        response_writer::write_response(self.socket, &self.memory, response, keep_alive, minor_version)
+        let memory = self.response_memory.take();
+        response_writer::write_response(self.socket, memory, response, keep_alive, minor_version)
             .await
             .map_err(|_| ConnectionEnd::WithoutResponse)
     }
@@ -144,7 +147,6 @@
     pub async fn close(mut self) {
         self.socket.shut_down_sending().await;
         self.discard_unread_body().await;
-        drop(self.memory);
         self.socket.linger().await;
     }
 
@@ -156,7 +158,7 @@
         let mut discarded = BytesMut::new();
         while let Ok(false) = decoder.decode(&mut self.socket.buffer, &mut discarded, usize::MAX) {
             discarded.clear();
-            if self.socket.read(MAX_FRAME_BYTES).await.is_err() {
+            if self.socket.read(DISCARD_READ_BYTES).await.is_err() {
                 return;
             }
         }
--- a/src/node/connection/clients/handler.rs
+++ b/src/node/connection/clients/handler.rs
@@ -1,11 +1,13 @@
 //! Interface between the HTTP server for clients and the code that processes their requests.
 
-use crate::node::wire::{
-    client_request::ClientRequest,
-    client_response::{ClientResponse, ResponseBody},
-    stream::BodyFrameReceiver,
+use crate::node::{
+    connection::{body_memory::MemoryPermit, response_body::BufferedBody},
+    wire::{
+        client_request::ClientRequest,
+        client_response::{ClientResponse, ResponseBody},
+        stream::BodyFrameReceiver,
+    },
 };
-use bytes::Bytes;
 use hyper::StatusCode;
 use oliverack::RequestId;
 use tokio::sync::oneshot;
@@ -14,12 +16,14 @@
 #[derive(Debug)]
 pub enum FinalResponse {
     /// The request was served; the body is buffered.
-    Served(Bytes),
+    Served(BufferedBody),
     /// The request was served; the body is streamed.
     Streamed {
         /// Length of the body in bytes; `None` if unknown.
         length: Option<u64>,
         frames: BodyFrameReceiver,
+        /// Memory reserved for the stream.
+        memory: MemoryPermit,
     },
     /// The request was rejected and no endpoint has worked on it, so the client may retry.
     Rejected {
@@ -42,26 +46,33 @@
     }
 }
 
-impl From<FinalResponse> for ClientResponse {
-    fn from(response: FinalResponse) -> Self {
-        match response {
-            FinalResponse::Served(body) => Self::with_body(StatusCode::OK, body),
-            FinalResponse::Streamed { length, frames } => {
-                Self { body: ResponseBody::Streamed { length, frames }, ..Self::without_body(StatusCode::OK) }
+impl FinalResponse {
+    /// Returns the response to the client, and the memory that is reserved for its body.
+    pub fn into_client_response(self) -> (ClientResponse, Option<MemoryPermit>) {
+        match self {
+            Self::Served(body) => (ClientResponse::with_body(StatusCode::OK, body.bytes), body.memory),
+            Self::Streamed { length, frames, memory } => {
+                let body = ResponseBody::Streamed { length, frames };
+                (ClientResponse { body, ..ClientResponse::without_body(StatusCode::OK) }, Some(memory))
             }
-            FinalResponse::Rejected { retry_after } => {
-                Self { retry_after, ..Self::without_body(StatusCode::TOO_MANY_REQUESTS) }
+            Self::Rejected { retry_after } => {
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                (ClientResponse { retry_after, ..ClientResponse::without_body(status) }, None)
             }
-            FinalResponse::Failed => Self::without_body(StatusCode::BAD_GATEWAY),
+            Self::Failed => (ClientResponse::without_body(StatusCode::BAD_GATEWAY), None),
         }
     }
 }
 
 /// Processes clients' requests.
 pub trait RequestHandler {
-    /// Accepts a request and returns the receiver of the final response. Returns `None` if a request with the same
-    /// transaction id is open.
-    fn accept(&self, request: ClientRequest) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)>;
+    /// Accepts a request and returns the receiver of the final response. `body_memory` is the reservation for the
+    /// request's body. Returns `None` if a request with the same transaction id is open.
+    fn accept(
+        &self,
+        request: ClientRequest,
+        body_memory: MemoryPermit,
+    ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)>;
     /// Reports that the last byte of a streamed request body has arrived, which starts the request's deadline and the
     /// timeouts of its attempts.
     fn request_body_received(&self, request_id: &RequestId);
--- a/src/node/connection/clients/mod.rs
+++ b/src/node/connection/clients/mod.rs
@@ -6,7 +6,6 @@
 //! - `socket` wraps the TCP stream; `request_reader` reads HTTP requests and `response_writer` writes HTTP responses.
 //! - `exchange` hands one request to the [`RequestHandler`] and waits for the final response; `body_upload` streams a
 //!   large request body to an endpoint meanwhile.
-//! - `memory` limits the memory for the bodies of all connections.
 
 mod body_upload;
 mod connection;
@@ -15,7 +14,6 @@
 mod exchange;
 mod handler;
 mod listener;
-mod memory;
 mod request_reader;
 mod response_writer;
 mod socket;
--- a/src/node/connection/clients/request_reader.rs
+++ b/src/node/connection/clients/request_reader.rs
@@ -1,16 +1,18 @@
 //! Reads requests from a client's connection: the head, and the body unless it is too large to be buffered.
 
 use crate::node::{
-    connection::clients::{
-        memory::{BodyMemory, MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
-        socket::ClientSocket,
-        state::{ConnectionEnd, Stage},
+    connection::{
+        body_memory::{BodyMemory, MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
+        clients::{
+            socket::ClientSocket,
+            state::{ConnectionEnd, Stage},
+        },
     },
     wire::{
         limits::MAX_BUFFERED_BODY_BYTES,
         request_body::{BodyDecoder, Framing},
         request_head::{self, RequestHead},
-        stream::{MAX_FRAME_BYTES, STREAM_MEMORY_BYTES},
+        stream::{MAX_FRAME_BYTES, REQUEST_STREAM_MEMORY_BYTES},
     },
 };
 use bytes::{Bytes, BytesMut};
@@ -22,9 +24,9 @@
 const NO_MEMORY: ConnectionEnd = ConnectionEnd::WithStatus(StatusCode::SERVICE_UNAVAILABLE);
 
 /// A request body and the memory reserved for it.
-pub struct ReceivedBody<'c> {
+pub struct ReceivedBody {
     pub content: ReceivedContent,
-    pub memory: MemoryPermit<'c>,
+    pub memory: MemoryPermit,
 }
 
 /// The part of a request body that was read.
@@ -67,20 +69,20 @@
 }
 
 /// Reads the complete body. If the body is too large to be buffered, reads only as much as shows that.
-pub async fn read_body<'c>(
-    socket: &mut ClientSocket<'c>,
+pub async fn read_body(
+    socket: &mut ClientSocket<'_>,
     head: &RequestHead,
-) -> Result<ReceivedBody<'c>, ConnectionEnd> {
+) -> Result<ReceivedBody, ConnectionEnd> {
     let body_memory = &socket.context.memory;
     let length = head.framing.length();
     if length.is_some_and(|length| must_stream(length, body_memory)) {
-        let memory = body_memory.reserve(STREAM_MEMORY_BYTES).ok_or(NO_MEMORY)?;
+        let memory = body_memory.reserve(REQUEST_STREAM_MEMORY_BYTES).ok_or(NO_MEMORY)?;
         let decoder = BodyDecoder::new(head.framing);
         let content = ReceivedContent::Partial { received: BytesMut::new(), decoder, length };
         return Ok(ReceivedBody { content, memory });
     }
     // Memory is reserved as bytes arrive, because an announced body may never come.
-    let memory = body_memory.reserve(0).ok_or(NO_MEMORY)?;
+    let memory = body_memory.empty_permit();
     if head.expects_continue && length != Some(0) && socket.buffer.is_empty() {
         socket.send_continue().await;
     }
@@ -94,11 +96,11 @@
 }
 
 /// Buffers a body. The limit for a body of unknown length grows while memory has headroom.
-async fn buffer_body<'c>(
-    socket: &mut ClientSocket<'c>,
+async fn buffer_body(
+    socket: &mut ClientSocket<'_>,
     framing: Framing,
-    mut memory: MemoryPermit<'c>,
-) -> Result<ReceivedBody<'c>, ConnectionEnd> {
+    mut memory: MemoryPermit,
+) -> Result<ReceivedBody, ConnectionEnd> {
     let body_memory = &socket.context.memory;
     let length = framing.length();
     let mut decoder = BodyDecoder::new(framing);
@@ -111,7 +113,7 @@
             return Ok(ReceivedBody { content: ReceivedContent::Complete(body.freeze()), memory });
         }
         let needed = body.len().next_multiple_of(MAX_FRAME_BYTES);
-        body_memory.extend_to(&mut memory, needed).ok_or(NO_MEMORY)?;
+        memory.extend_to(needed).ok_or(NO_MEMORY)?;
         if length.is_none() && body.len() > limit {
             if limit < MAX_BUFFER_BYTES_WITH_HEADROOM && body_memory.has_headroom_for(MAX_BUFFERED_BODY_BYTES)
             {
--- a/src/node/connection/clients/response_writer.rs
+++ b/src/node/connection/clients/response_writer.rs
@@ -1,23 +1,25 @@
 //! Writes final responses, buffered or streamed, to a client's connection.
 
 use crate::node::{
-    connection::clients::{memory::MemoryPermit, socket::ClientSocket, state::Stage},
+    connection::{
+        body_memory::MemoryPermit,
+        clients::{socket::ClientSocket, state::Stage},
+    },
     metrics,
     wire::{
         client_response::{ClientResponse, ResponseBody},
-        stream::{BodyFrame, BodyFrameReceiver, STREAM_MEMORY_BYTES},
+        stream::{BodyFrame, BodyFrameReceiver, RESPONSE_STREAM_MEMORY_BYTES},
     },
 };
+use bytes::{Buf, Bytes};
 use hyper::StatusCode;
 use socket2::SockRef;
 use std::{
     io::{self, Write},
     time::Duration,
 };
-use tokio::{io::AsyncWriteExt, time::sleep};
+use tokio::io::AsyncWriteExt;
 
-/// Pause between two attempts to reserve memory.
-const MEMORY_BACKOFF: Duration = Duration::from_millis(20);
 /// Size of the system's send buffer for a streamed response. It is limited because bytes that wait there for a slow
 /// client take memory as well.
 const SEND_BUFFER_BYTES: usize = 128 * 1024;
@@ -49,42 +51,35 @@
     Unstarted,
 }
 
-/// Writes a response. A streamed response uses `memory`, the reservation for the request's body, and reserves only what
-/// it needs beyond that.
+/// Writes a response. `memory` is the reservation for its body.
 ///
 /// # Errors
 /// Returns an error if the client has disconnected.
 pub async fn write_response(
     socket: &mut ClientSocket<'_>,
-    memory: &MemoryPermit<'_>,
+    memory: Option<MemoryPermit>,
     response: ClientResponse,
     keep_alive: bool,
     minor_version: u8,
 ) -> io::Result<Delivery> {
     let outcome = response.outcome();
     socket.state.enter(Stage::WritingResponse);
-    let head = response.render(keep_alive, minor_version);
+    let head = response.render_head(keep_alive, minor_version);
     let (length, frames) = match response.body {
-        ResponseBody::Buffered(_) => {
-            socket.tcp.write_all(&head).await?;
+        ResponseBody::Buffered(body) => {
+            socket.tcp.write_all_buf(&mut head.chain(body)).await?;
             return Ok(Delivery::Complete(outcome));
         }
         ResponseBody::Streamed { length, frames } => (length, frames),
     };
-    // Responses count towards the memory limit as well. Without free memory the rest of the response waits at the
-    // endpoint.
-    let stream_memory = reserve_stream_memory(socket, memory).await;
     // A failure leaves the system's default, which is larger.
     let _ = SockRef::from(&socket.tcp).set_send_buffer_size(SEND_BUFFER_BYTES);
     let is_chunked = length.is_none() && minor_version > 0;
-    let stream_outcome = ResponseStream { socket, is_chunked, unsent: head }.forward(frames).await?;
-    drop(stream_memory);
-    match stream_outcome {
+    match (ResponseStream { socket, memory, is_chunked, head }).forward(frames).await? {
         StreamOutcome::Complete => Ok(Delivery::Complete(outcome)),
         StreamOutcome::Unstarted => {
             let failure = ClientResponse::without_body(StatusCode::BAD_GATEWAY);
-            let text = failure.render(keep_alive, minor_version);
-            socket.tcp.write_all(&text).await?;
+            socket.tcp.write_all(&failure.render_head(keep_alive, minor_version)).await?;
             Ok(Delivery::Complete(failure.outcome()))
         }
         StreamOutcome::Truncated => {
@@ -96,26 +91,15 @@
     }
 }
 
-/// Reserves the memory that a stream needs beyond the bytes that the exchange already holds. Waits until it is free.
-async fn reserve_stream_memory<'c>(
-    socket: &ClientSocket<'c>,
-    held_memory: &MemoryPermit<'_>,
-) -> MemoryPermit<'c> {
-    loop {
-        match socket.context.memory.reserve(STREAM_MEMORY_BYTES.saturating_sub(held_memory.bytes())) {
-            Some(permit) => return permit,
-            None => sleep(MEMORY_BACKOFF).await,
-        }
-    }
-}
-
 /// A response that is forwarded to the client as it arrives from the endpoint.
 struct ResponseStream<'a, 'c> {
     socket: &'a mut ClientSocket<'c>,
+    /// Memory reserved for the stream and, until that is written, for its buffered beginning.
+    memory: Option<MemoryPermit>,
     is_chunked: bool,
-    /// Bytes to be written next. They begin with the head, which is written together with the first bytes of the body:
-    /// if the stream breaks before these, the client can still get another response.
-    unsent: Vec<u8>,
+    /// The response's head; empty once it is written. It is written together with the first bytes of the body: if the
+    /// stream breaks before these, the client can still get another response.
+    head: Bytes,
 }
 
 impl ResponseStream<'_, '_> {
@@ -129,14 +113,15 @@
                 Some(BodyFrame::Data(data)) if data.is_empty() => {}
                 Some(BodyFrame::Data(data)) => {
                     has_started = true;
-                    self.append(&data);
-                    self.flush().await?;
+                    self.write_data(data).await?;
+                    if let Some(memory) = &mut self.memory {
+                        memory.shrink_to(RESPONSE_STREAM_MEMORY_BYTES);
+                    }
                 }
                 Some(BodyFrame::End) => {
-                    if self.is_chunked {
-                        self.unsent.extend_from_slice(b"0\r\n\r\n");
-                    }
-                    self.flush().await?;
+                    let last_chunk: &[u8] = if self.is_chunked { b"0\r\n\r\n" } else { b"" };
+                    let head = std::mem::take(&mut self.head);
+                    self.write(head.chain(last_chunk)).await?;
                     return Ok(StreamOutcome::Complete);
                 }
                 None if has_started => return Ok(StreamOutcome::Truncated),
@@ -145,26 +130,23 @@
         }
     }
 
-    fn append(&mut self, data: &[u8]) {
-        if self.is_chunked {
-            // Writing to a vector does not fail.
-            let _ = write!(self.unsent, "{:x}\r\n", data.len());
-        }
-        self.unsent.extend_from_slice(data);
-        if self.is_chunked {
-            self.unsent.extend_from_slice(b"\r\n");
+    /// Writes data of the body, as a chunk if the body is chunked, after the head if that is not written yet.
+    async fn write_data(&mut self, data: Bytes) -> io::Result<()> {
+        let head = std::mem::take(&mut self.head);
+        if !self.is_chunked {
+            return self.write(head.chain(data)).await;
         }
+        let mut size_line = Vec::new();
+        write!(size_line, "{:x}\r\n", data.len())?;
+        self.write(head.chain(Bytes::from(size_line)).chain(data).chain(&b"\r\n"[..])).await
     }
 
-    /// Writes all unsent bytes and restarts the stage's time with each write that makes progress.
-    async fn flush(&mut self) -> io::Result<()> {
-        let mut unwritten = &self.unsent[..];
-        while !unwritten.is_empty() {
-            let count = self.socket.tcp.write(unwritten).await?;
-            unwritten = &unwritten[count..];
+    /// Writes all bytes and restarts the stage's time with each write that makes progress.
+    async fn write(&mut self, mut output: impl Buf) -> io::Result<()> {
+        while output.has_remaining() {
+            self.socket.tcp.write_buf(&mut output).await?;
             self.socket.state.enter(Stage::StreamingResponse);
         }
-        self.unsent.clear();
         Ok(())
     }
 }
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -2,9 +2,9 @@
 
 use crate::node::{
     connection::{
+        body_memory::{MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
         clients::{
             context::ConnectionContext,
-            memory::{MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
             state::{ConnectionEnd, ConnectionState, Stage},
         },
         socket_input::has_input,
@@ -34,7 +34,7 @@
     /// Bytes that were received and not yet consumed.
     pub buffer: BytesMut,
     /// Memory reserved for bytes that are read into the buffer while the gateway works on a request.
-    read_ahead_memory: MemoryPermit<'c>,
+    read_ahead_memory: MemoryPermit,
 }
 
 /// Meaning of a wake-up by [`ConnectionState::close_signal`].
@@ -128,14 +128,14 @@
                 ready = self.tcp.readable() => if ready.is_err() { return },
             }
             let needed = self.buffer.len() + MAX_FRAME_BYTES;
-            if self.context.memory.extend_to(&mut self.read_ahead_memory, needed).is_none() {
+            if self.read_ahead_memory.extend_to(needed).is_none() {
                 break;
             }
             self.buffer.reserve(MAX_FRAME_BYTES);
             match self.tcp.try_read_buf(&mut self.buffer) {
                 Ok(0) => return,
                 Ok(_) => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.release_empty_buffer(),
                 Err(_) => return,
             }
         }
--- a/src/node/connection/discovery/call.rs
+++ b/src/node/connection/discovery/call.rs
@@ -2,15 +2,21 @@
 
 use crate::node::{
     connection::{
-        discovery::error::DiscoveryError, http_connection::HttpConnection, response_body::BufferLimits,
+        body_memory::{BodyMemory, MemoryPermit},
+        discovery::error::DiscoveryError,
+        http_connection::HttpConnection,
+        response_body::{BodySink, BufferLimits},
         write_progress::WriteProgressHandle,
     },
-    wire::stream::OutgoingBody,
+    wire::stream::{BodyFrame, OutgoingBody},
 };
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, Uri, header, http::response::Parts};
-use std::{cell::Cell, net::SocketAddr, time::Duration};
-use tokio::time::{Instant, timeout_at};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
+};
 
 /// Longest time for which discovery may hold the response to a watch, from the start of the call. A change must reach
 /// the gateway within 6 s of reaching discovery, even if a call fails: the hold, the grace period after it, the
@@ -86,20 +92,41 @@
         request: Request<OutgoingBody>,
         time_limit: Duration,
     ) -> Result<Response<Bytes>, DiscoveryError> {
-        let is_too_long = Cell::new(false);
-        // Called only for a response that exceeds the limits. The buffering time equals the call's time limit, so
-        // that is a response that is too long.
-        let reject = |_: &Parts, _: Option<u64>| {
-            is_too_long.set(true);
-            None
-        };
+        let sink = LongListRejection::default();
         let limits = BufferLimits { max_bytes: self.max_list_bytes, max_time: time_limit };
-        connection.exchange(request, limits, &reject).await.map_err(|_| {
-            if is_too_long.get() {
+        let response = connection.exchange(request, limits, &sink).await.map_err(|_| {
+            if sink.is_too_long.get() {
                 DiscoveryError::TooLong { max_bytes: self.max_list_bytes }
             } else {
                 DiscoveryError::ConnectionLost
             }
-        })
+        })?;
+        Ok(response.map(|body| body.bytes))
+    }
+}
+
+/// Sink that rejects a list beyond the buffer limits. The buffering time equals the call's time limit, so such a list
+/// is too long. The limit on its length bounds the memory.
+#[derive(Default)]
+struct LongListRejection {
+    is_too_long: Cell<bool>,
+}
+
+impl BodySink for LongListRejection {
+    fn memory(&self) -> Option<&Rc<BodyMemory>> {
+        None
+    }
+
+    fn accepts_stream(&self, _: &Parts, _: Option<u64>) -> bool {
+        self.is_too_long.set(true);
+        false
+    }
+
+    fn take_request_memory(&self) -> Option<MemoryPermit> {
+        None
+    }
+
+    fn open_stream(&self, _: Option<u64>, _: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>> {
+        None
     }
 }
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -2,9 +2,10 @@
 
 use crate::node::{
     connection::{
+        body_memory::{BodyMemory, MemoryPermit},
         endpoint_pool::{EndpointPool, Target},
         http_connection::ExchangeError,
-        response_body::BufferLimits,
+        response_body::{BodySink, BufferLimits, BufferedBody},
         write_progress::WriteProgressHandle,
     },
     wire::{
@@ -14,10 +15,9 @@
         stream::{BodyFrame, OutgoingBody},
     },
 };
-use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, StatusCode, http::response::Parts};
 use oliverack::{LoadReport, Status};
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 use tokio::{sync::mpsc, time::sleep};
 
 /// Limits of buffered responses. A longer one, or one of unknown length that takes longer, is streamed.
@@ -29,17 +29,17 @@
 pub struct AttemptResult {
     pub status: Status,
     /// Response body; empty if there was no response or it was streamed.
-    pub body: Bytes,
+    pub body: BufferedBody,
     pub load: LoadReport,
 }
 
 impl AttemptResult {
     /// Returns the result of an attempt that got no response.
     pub fn without_response(status: Status) -> Self {
-        Self { status, body: Bytes::new(), load: LoadReport::default() }
+        Self { status, body: BufferedBody::default(), load: LoadReport::default() }
     }
 
-    fn from_response(response: Response<Bytes>) -> Self {
+    fn from_response(response: Response<BufferedBody>) -> Self {
         let status = attempt_status(response.status(), response.headers());
         let load = response.headers().get("x-pressure").and_then(|value| value.to_str().ok());
         let load = load.map(load_report::parse).unwrap_or_default();
@@ -57,44 +57,44 @@
     }
 }
 
+/// The request that an attempt is made for.
+pub trait AttemptRequest {
+    /// Returns whether the attempt may still be sent.
+    fn may_send(&self) -> bool;
+    /// Takes over the reservation for the request's body if that was streamed, as the response shows that it was sent.
+    fn take_upload_memory(&self) -> Option<MemoryPermit>;
+    /// Starts the streamed response, given its length if it is known. Returns `None` if it is no longer wanted.
+    fn open_stream(&self, length: Option<u64>, memory: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>>;
+}
+
 /// Attempt that is in progress.
-struct EndpointAttempt<'a, S, O> {
+struct EndpointAttempt<'a, R> {
     pool: &'a EndpointPool,
     target: &'a Target,
     upstream: &'a UpstreamRequest,
     timeout_seconds: f64,
     progress: &'a WriteProgressHandle,
-    may_send: S,
-    open_stream: O,
+    request: &'a R,
 }
 
 impl EndpointPool {
-    /// Sends a request to an endpoint once, if `may_send` still returns true when the connection is open. The request
-    /// tells the endpoint that the gateway waits for `timeout_seconds`; the caller enforces this timeout.
+    /// Sends a request to an endpoint once, if it may still be sent when the connection is open. The request tells the
+    /// endpoint that the gateway waits for `timeout_seconds`; the caller enforces this timeout.
     ///
-    /// A response beyond the buffer limits goes to the stream that `open_stream` returns, given the length if it is
-    /// known. `progress` shows how much of the request has been written.
+    /// A response beyond the buffer limits goes to a stream of `request`. `progress` shows how much of the request has
+    /// been written.
     pub async fn attempt(
         &self,
         target: &Target,
         upstream: &UpstreamRequest,
         timeout_seconds: f64,
         progress: &WriteProgressHandle,
-        may_send: impl Fn() -> bool,
-        open_stream: impl Fn(Option<u64>) -> Option<mpsc::Sender<BodyFrame>>,
+        request: &impl AttemptRequest,
     ) -> AttemptResult {
         if !upstream.body.is_available() {
             return AttemptResult::without_response(Status::NotSent);
         }
-        let attempt = EndpointAttempt {
-            pool: self,
-            target,
-            upstream,
-            timeout_seconds,
-            progress,
-            may_send,
-            open_stream,
-        };
+        let attempt = EndpointAttempt { pool: self, target, upstream, timeout_seconds, progress, request };
         match attempt.run().await {
             Ok(response) => AttemptResult::from_response(response),
             Err(status) => AttemptResult::without_response(status),
@@ -102,14 +102,10 @@
     }
 }
 
-impl<S, O> EndpointAttempt<'_, S, O>
-where
-    S: Fn() -> bool,
-    O: Fn(Option<u64>) -> Option<mpsc::Sender<BodyFrame>>,
-{
+impl<R: AttemptRequest> EndpointAttempt<'_, R> {
     /// Sends the request on an idle or new connection and reads the response. Never sends any byte of the request
     /// twice: tries another connection only if a reused one failed before the first byte was written.
-    async fn run(&self) -> Result<Response<Bytes>, Status> {
+    async fn run(&self) -> Result<Response<BufferedBody>, Status> {
         if let Some(reuse_delay) = self.pool.time_until_reuse(self.target) {
             sleep(reuse_delay).await;
         }
@@ -122,8 +118,7 @@
             connection.http.progress().count_request_in(&self.pool.dispatches);
             let idle_time = connection.idle_since.elapsed();
             let request = self.build_request()?;
-            let open_stream = |parts: &Parts, length| self.open_stream_if_wanted(parts, length);
-            let exchange = connection.http.exchange(request, BUFFER_LIMITS, &open_stream);
+            let exchange = connection.http.exchange(request, BUFFER_LIMITS, self);
             let error = match exchange.await {
                 Ok(response) => {
                     if connection.is_reused {
@@ -153,16 +148,29 @@
     /// Builds the request for an open connection. Checks the endpoint and the request again, because opening the
     /// connection may have taken long. Nothing is awaited between this check and the first byte.
     fn build_request(&self) -> Result<Request<OutgoingBody>, Status> {
-        if !self.pool.is_current(self.target) || !(self.may_send)() {
+        if !self.pool.is_current(self.target) || !self.request.may_send() {
             return Err(Status::NotSent);
         }
         // A streamed body that was given to an earlier connection can't be sent on another one.
         self.upstream.build_attempt_request(self.timeout_seconds).ok_or(Status::ConnectFailed)
     }
+}
+
+impl<R: AttemptRequest> BodySink for EndpointAttempt<'_, R> {
+    fn memory(&self) -> Option<&Rc<BodyMemory>> {
+        Some(&self.pool.body_memory)
+    }
+
+    /// Accepts a successful response that is not too long. Bodies of other responses are not needed.
+    fn accepts_stream(&self, parts: &Parts, length: Option<u64>) -> bool {
+        parts.status == StatusCode::OK && length.is_none_or(|length| length <= MAX_BODY_BYTES as u64)
+    }
+
+    fn take_request_memory(&self) -> Option<MemoryPermit> {
+        self.request.take_upload_memory()
+    }
 
-    /// Opens the stream for a successful response that is not too long. Bodies of other responses are not needed.
-    fn open_stream_if_wanted(&self, parts: &Parts, length: Option<u64>) -> Option<mpsc::Sender<BodyFrame>> {
-        let is_within_limit = length.is_none_or(|length| length <= MAX_BODY_BYTES as u64);
-        if parts.status == StatusCode::OK && is_within_limit { (self.open_stream)(length) } else { None }
+    fn open_stream(&self, length: Option<u64>, memory: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>> {
+        self.request.open_stream(length, memory)
     }
 }
--- a/src/node/connection/endpoint_pool.rs
+++ b/src/node/connection/endpoint_pool.rs
@@ -1,7 +1,7 @@
 //! Pool of connections to the endpoints, reused between attempts and limited to a budget.
 
 use crate::node::{
-    connection::{http_connection::HttpConnection, idle_limit::IdleLimit},
+    connection::{body_memory::BodyMemory, http_connection::HttpConnection, idle_limit::IdleLimit},
     wire::endpoint_list::ListedEndpoint,
 };
 use fnv::FnvHashMap;
@@ -70,6 +70,8 @@
     connect_timeout: Duration,
     /// Number of attempts whose request was written completely.
     pub(super) dispatches: Rc<Cell<u64>>,
+    /// Budget for the bodies of responses.
+    pub(super) body_memory: Rc<BodyMemory>,
 }
 
 /// Endpoint, in a certain incarnation, that an attempt is sent to.
@@ -88,6 +90,7 @@
         endpoint_idle_timeout: Duration,
         connect_timeout: Duration,
         dispatches: Rc<Cell<u64>>,
+        body_memory: Rc<BodyMemory>,
     ) -> Self {
         let max_idle = endpoint_idle_timeout.saturating_sub(IDLE_LIMIT_MARGIN).max(endpoint_idle_timeout / 2);
         Self {
@@ -100,6 +103,7 @@
             idle_limit: IdleLimit::new(max_idle),
             connect_timeout,
             dispatches,
+            body_memory,
         }
     }
 
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -5,13 +5,12 @@
 
 use crate::node::{
     connection::{
-        response_body::{BufferLimits, OpenStream, read_body},
+        response_body::{BodySink, BufferLimits, BufferedBody, read_body},
         socket_input::has_input,
         write_progress::{CountingSocket, WriteProgress},
     },
     wire::{limits::MAX_HEAD_BYTES, stream::OutgoingBody},
 };
-use bytes::Bytes;
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::{Request, Response, body::Body};
 use hyper_util::rt::TokioIo;
@@ -93,8 +92,8 @@
         !has_input(&self.socket) && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
     }
 
-    /// Sends a request and reads the response. A body beyond `limits` goes to the stream that `open_stream` returns;
-    /// then the response is returned after the end of the stream, with an empty body.
+    /// Sends a request and reads the response. A body beyond `limits` goes to a stream of `sink`; then the response is
+    /// returned after the end of the stream, with an empty body.
     ///
     /// # Errors
     /// The connection failed, the response was invalid, or no stream was opened for a body beyond `limits`.
@@ -102,8 +101,8 @@
         &mut self,
         request: Request<OutgoingBody>,
         limits: BufferLimits,
-        open_stream: &OpenStream<'_>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+        sink: &impl BodySink,
+    ) -> Result<Response<BufferedBody>, ExchangeError> {
         let body_length = request.body().size_hint().exact().map(|length| length as usize);
         self.progress.start_request(body_length, request.body().finished_flag());
         let response = self.sender.try_send_request(request);
@@ -115,7 +114,7 @@
             })?;
             has_head.set(true);
             let (parts, body) = response.into_parts();
-            let body = read_body(&parts, body, limits, open_stream).await;
+            let body = read_body(&parts, body, limits, sink).await;
             let body = body.map_err(|_| UnclassifiedFailure::Broken)?;
             Ok(Response::from_parts(parts, body))
         });
@@ -141,8 +140,8 @@
     driver: &mut Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
     progress: &WriteProgress,
     has_head: &Cell<bool>,
-    mut response: Pin<&mut impl Future<Output = Result<Response<Bytes>, UnclassifiedFailure>>>,
-) -> Result<Response<Bytes>, UnclassifiedFailure> {
+    mut response: Pin<&mut impl Future<Output = Result<Response<BufferedBody>, UnclassifiedFailure>>>,
+) -> Result<Response<BufferedBody>, UnclassifiedFailure> {
     let mut is_closed = false;
     let mut head_timer: Option<Pin<Box<Sleep>>> = None;
     poll_fn(|cx| {
--- a/src/node/connection/mod.rs
+++ b/src/node/connection/mod.rs
@@ -3,6 +3,7 @@
 //! Connections report through small traits such as [`events::EventSink`], so that this layer doesn't depend on the
 //! code that uses it.
 
+pub mod body_memory;
 pub mod clients;
 pub mod counter;
 pub mod discovery;
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -1,6 +1,9 @@
 //! Reads response bodies: short ones into a buffer, long or slow ones as a stream.
 
-use crate::node::wire::stream::BodyFrame;
+use crate::node::{
+    connection::body_memory::{BodyMemory, MemoryPermit},
+    wire::stream::{BodyFrame, MAX_RESPONSE_FRAME_BYTES, RESPONSE_STREAM_MEMORY_BYTES},
+};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
@@ -9,7 +12,7 @@
     header::{CONNECTION, TRANSFER_ENCODING},
     http::response::Parts,
 };
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
@@ -22,6 +25,8 @@
 /// Longest wait for the next data of a streamed body. Longer than for a buffered body, because no other attempt can
 /// replace a stream that has begun.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest part of a body that needs no reservation, because the connection's read buffer holds it anyway.
+const UNRESERVED_BYTES: usize = MAX_RESPONSE_FRAME_BYTES;
 
 /// Failure to read a response body to its end.
 #[derive(Debug, Error)]
@@ -56,11 +61,31 @@
     }
 }
 
-/// Opens the stream for a body that exceeds the limits, given the response's head and the body's length if it is
-/// known. Returns `None` if the body is not wanted.
-pub type OpenStream<'a> = dyn Fn(&Parts, Option<u64>) -> Option<mpsc::Sender<BodyFrame>> + 'a;
+/// A buffered body and the memory that is reserved for it.
+#[derive(Debug, Default)]
+pub struct BufferedBody {
+    pub bytes: Bytes,
+    /// `None` if the buffer needs no reservation.
+    pub memory: Option<MemoryPermit>,
+}
+
+/// Receiver of a response body that is too long for the buffer.
+pub trait BodySink {
+    /// Returns the budget from which the body's buffers are reserved; `None` if the buffer limits alone bound them. A
+    /// stream needs a budget.
+    fn memory(&self) -> Option<&Rc<BodyMemory>>;
+    /// Returns whether a body beyond the buffer limits is wanted, given the response's head and the body's length if it
+    /// is known.
+    fn accepts_stream(&self, parts: &Parts, length: Option<u64>) -> bool;
+    /// Takes over a reservation that the request no longer needs, to be used for the stream.
+    fn take_request_memory(&self) -> Option<MemoryPermit>;
+    /// Opens the stream. Its receiver holds `memory` until the end of the stream. Returns `None` if the body is no
+    /// longer wanted.
+    fn open_stream(&self, length: Option<u64>, memory: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>>;
+}
 
-/// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed.
+/// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed. A stream starts only when
+/// memory is free for it; meanwhile the rest of the body waits at the endpoint, and the caller limits the wait.
 ///
 /// # Errors
 /// The body was cut off or stalled, or no stream was opened for it, or the stream's receiver was dropped.
@@ -68,19 +93,25 @@
     parts: &Parts,
     mut body: Incoming,
     limits: BufferLimits,
-    open_stream: &OpenStream<'_>,
-) -> Result<Bytes, ResponseBodyError> {
+    sink: &impl BodySink,
+) -> Result<BufferedBody, ResponseBodyError> {
     let length = body.size_hint().exact();
     if length.is_none() && !is_end_detectable(parts) {
         return Err(ResponseBodyError::UnannouncedClose);
     }
-    let buffered = match buffer_body(&mut body, length, limits).await? {
-        Buffered::Complete(bytes) => return Ok(bytes),
-        Buffered::Partial(bytes) => bytes,
+    let mut buffer = BodyBuffer::new(length, sink.memory());
+    let excess = match buffer.fill(&mut body, limits).await? {
+        Filled::Complete => return Ok(buffer.into_body()),
+        Filled::Partial { excess } => excess,
     };
-    let sender = open_stream(parts, length).ok_or(ResponseBodyError::NotStreamed)?;
-    stream_body(&mut body, buffered, &sender).await?;
-    Ok(Bytes::new())
+    if !sink.accepts_stream(parts, length) {
+        return Err(ResponseBodyError::NotStreamed);
+    }
+    let buffered = buffer.into_body();
+    let memory = stream_memory(sink, buffered.memory).await.ok_or(ResponseBodyError::NotStreamed)?;
+    let sender = sink.open_stream(length, memory).ok_or(ResponseBodyError::NotStreamed)?;
+    stream_body(&mut body, [buffered.bytes, excess], &sender).await?;
+    Ok(BufferedBody::default())
 }
 
 /// Returns whether the end of a body without a length can be told from a failure. A close of the connection marks the
@@ -92,59 +123,107 @@
         || connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-/// Buffered part of a body.
-enum Buffered {
-    Complete(Bytes),
-    /// The body exceeds the limits; the rest is still to be read.
-    Partial(Bytes),
+/// Result of filling a buffer.
+enum Filled {
+    Complete,
+    /// The body exceeds the limits, or memory is short; the rest is still to be read.
+    Partial {
+        /// Data that was read, and for which the buffer has no memory.
+        excess: Bytes,
+    },
 }
 
-async fn buffer_body(
-    body: &mut Incoming,
+/// Buffer for the beginning of a body. Memory is reserved before data is added.
+struct BodyBuffer {
     length: Option<u64>,
-    limits: BufferLimits,
-) -> Result<Buffered, ResponseBodyError> {
-    let capacity = length.filter(|_| limits.can_buffer(length)).unwrap_or(0);
-    let mut bytes = BytesMut::with_capacity(capacity as usize);
-    let time_limit = sleep(limits.max_time);
-    tokio::pin!(time_limit);
-    while limits.can_buffer(length) && bytes.len() <= limits.max_bytes {
-        let frame = tokio::select! {
-            biased;
-            frame = timeout(BUFFER_STALL_TIMEOUT, body.frame()) => {
-                frame.map_err(|_| ResponseBodyError::Stalled(BUFFER_STALL_TIMEOUT))?
-            }
-            () = time_limit.as_mut(), if length.is_none() => break,
-        };
-        match frame {
-            None => return Ok(Buffered::Complete(bytes.freeze())),
+    bytes: BytesMut,
+    /// `None` if the buffer limits alone bound the memory.
+    memory: Option<MemoryPermit>,
+}
+
+impl BodyBuffer {
+    fn new(length: Option<u64>, memory: Option<&Rc<BodyMemory>>) -> Self {
+        Self { length, bytes: BytesMut::new(), memory: memory.map(BodyMemory::empty_permit) }
+    }
+
+    /// Reads the body until it is complete or exceeds the limits.
+    async fn fill(&mut self, body: &mut Incoming, limits: BufferLimits) -> Result<Filled, ResponseBodyError> {
+        let time_limit = sleep(limits.max_time);
+        tokio::pin!(time_limit);
+        while limits.can_buffer(self.length) && self.bytes.len() <= limits.max_bytes {
+            let frame = tokio::select! {
+                biased;
+                frame = timeout(BUFFER_STALL_TIMEOUT, body.frame()) => {
+                    frame.map_err(|_| ResponseBodyError::Stalled(BUFFER_STALL_TIMEOUT))?
+                }
+                () = time_limit.as_mut(), if self.length.is_none() => break,
+            };
+            let Some(frame) = frame else { return Ok(Filled::Complete) };
             // A frame without data holds trailers, which are ignored.
-            Some(frame) => bytes.extend_from_slice(&frame?.into_data().unwrap_or_default()),
+            let data = frame?.into_data().unwrap_or_default();
+            if self.reserve(data.len()).is_none() {
+                return Ok(Filled::Partial { excess: data });
+            }
+            self.bytes.extend_from_slice(&data);
+        }
+        Ok(Filled::Partial { excess: Bytes::new() })
+    }
+
+    /// Makes room for this much more data, or for the whole body if its length is known. Returns `None` if memory is
+    /// short.
+    fn reserve(&mut self, data_length: usize) -> Option<()> {
+        let needed = self.bytes.len() + data_length;
+        let total = self.length.map_or(needed, |length| needed.max(length as usize));
+        if let Some(permit) = self.memory.as_mut().filter(|_| total > UNRESERVED_BYTES) {
+            permit.extend_with_headroom(total.next_multiple_of(MAX_RESPONSE_FRAME_BYTES))?;
         }
+        self.bytes.reserve(total - self.bytes.len());
+        Some(())
+    }
+
+    fn into_body(self) -> BufferedBody {
+        BufferedBody { bytes: self.bytes.freeze(), memory: self.memory }
     }
-    Ok(Buffered::Partial(bytes.freeze()))
 }
 
-/// Sends the buffered part and the rest of the body to the stream, then marks the stream's end.
+/// Reserves the memory of a stream in addition to that of its buffered beginning. Returns `None` if there is no budget.
+async fn stream_memory(sink: &impl BodySink, buffer_memory: Option<MemoryPermit>) -> Option<MemoryPermit> {
+    let mut memory = buffer_memory?;
+    let buffer_bytes = memory.bytes();
+    if let Some(request_memory) = sink.take_request_memory() {
+        memory.merge(request_memory);
+    }
+    let needed = buffer_bytes + RESPONSE_STREAM_MEMORY_BYTES;
+    memory.shrink_to(needed);
+    memory.extend_when_free(needed).await;
+    Some(memory)
+}
+
+/// Sends the beginning and the rest of the body to the stream, then marks the stream's end. Reads a frame only when the
+/// channel has room for it.
 async fn stream_body(
     body: &mut Incoming,
-    buffered: Bytes,
+    beginning: [Bytes; 2],
     sender: &mpsc::Sender<BodyFrame>,
 ) -> Result<(), ResponseBodyError> {
-    if !buffered.is_empty() {
-        send(sender, BodyFrame::Data(buffered)).await?;
+    for data in beginning.into_iter().filter(|data| !data.is_empty()) {
+        reserve_slot(sender).await?.send(BodyFrame::Data(data));
     }
     loop {
+        let slot = reserve_slot(sender).await?;
         let frame = timeout(STREAM_STALL_TIMEOUT, body.frame()).await;
         let Some(frame) = frame.map_err(|_| ResponseBodyError::Stalled(STREAM_STALL_TIMEOUT))? else {
-            return send(sender, BodyFrame::End).await;
+            slot.send(BodyFrame::End);
+            return Ok(());
         };
         if let Ok(data) = frame?.into_data() {
-            send(sender, BodyFrame::Data(data)).await?;
+            slot.send(BodyFrame::Data(data));
         }
     }
 }
 
-async fn send(sender: &mpsc::Sender<BodyFrame>, frame: BodyFrame) -> Result<(), ResponseBodyError> {
-    sender.send(frame).await.map_err(|_| ResponseBodyError::ReceiverGone)
+async fn reserve_slot(
+    sender: &mpsc::Sender<BodyFrame>,
+) -> Result<mpsc::Permit<'_, BodyFrame>, ResponseBodyError> {
+    sender.reserve().await.map_err(|_| ResponseBodyError::ReceiverGone)
 }
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -3,6 +3,7 @@
 //! The progress tells whether an attempt may have run, because an endpoint starts to work on a request only after it
 //! has received the last byte.
 
+use crate::node::wire::stream::MAX_RESPONSE_FRAME_BYTES;
 use std::{
     cell::{Cell, RefCell},
     io,
@@ -15,6 +16,9 @@
     net::TcpStream,
 };
 
+/// Largest number of bytes read at once. hyper would double its read buffer after a read that fills the initial one.
+const MAX_READ_BYTES: usize = MAX_RESPONSE_FRAME_BYTES - 1;
+
 /// Progress of the current request on a connection.
 #[derive(Debug, Default)]
 pub struct WriteProgress {
@@ -107,9 +111,10 @@
         cx: &mut Context<'_>,
         output: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let length = output.remaining().min(MAX_READ_BYTES);
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(output.initialize_unfilled()) {
+            match self.socket.try_read(output.initialize_unfilled_to(length)) {
                 Ok(count) => {
                     output.advance(count);
                     let filled = output.filled();
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -2,8 +2,9 @@
 
 use crate::node::{
     connection::{
+        body_memory::MemoryPermit,
         clients::FinalResponse,
-        endpoint_attempt::AttemptResult,
+        endpoint_attempt::{AttemptRequest, AttemptResult},
         endpoint_pool::{EndpointPool, Target},
         write_progress::WriteProgressHandle,
     },
@@ -118,12 +119,9 @@
     ) -> AbortHandle {
         let attempts = self.clone();
         let task = tokio::task::spawn_local(async move {
-            let may_send = || attempts.may_send(&request_id);
-            let start_response = |length| attempts.response_started(&request_id, number, length);
-            let result = attempts
-                .endpoints
-                .attempt(&target, &upstream, timeout, &write_progress, may_send, start_response)
-                .await;
+            let request = RequestOfAttempt { attempts: &attempts, request_id: &request_id, number };
+            let endpoints = &attempts.endpoints;
+            let result = endpoints.attempt(&target, &upstream, timeout, &write_progress, &request).await;
             attempts.end(&request_id, number, result);
         });
         task.abort_handle()
@@ -140,11 +138,12 @@
         request_id: &RequestId,
         number: u32,
         length: Option<u64>,
+        memory: MemoryPermit,
     ) -> Option<mpsc::Sender<BodyFrame>> {
         let mut request = self.table.get_mut(request_id)?;
         request.attempt_mut(number)?;
         let (sender, frames) = stream::channel();
-        let outcome = request.deliver(FinalResponse::Streamed { length, frames });
+        let outcome = request.deliver(FinalResponse::Streamed { length, frames, memory });
         if outcome == DeliveryOutcome::NotWaiting {
             return None;
         }
@@ -220,6 +219,27 @@
     }
 }
 
+/// The request of one attempt.
+struct RequestOfAttempt<'a> {
+    attempts: &'a Attempts,
+    request_id: &'a RequestId,
+    number: u32,
+}
+
+impl AttemptRequest for RequestOfAttempt<'_> {
+    fn may_send(&self) -> bool {
+        self.attempts.may_send(self.request_id)
+    }
+
+    fn take_upload_memory(&self) -> Option<MemoryPermit> {
+        self.attempts.table.get_mut(self.request_id)?.take_upload_memory()
+    }
+
+    fn open_stream(&self, length: Option<u64>, memory: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>> {
+        self.attempts.response_started(self.request_id, self.number, length, memory)
+    }
+}
+
 /// Returns the event for the end of an attempt that was never started.
 fn not_sent_event(request_id: RequestId, attempt: u32, endpoint: EndpointId, is_finished: bool) -> Event {
     Event::AttemptEnded {
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -3,7 +3,9 @@
 
 use crate::node::{
     config::Config,
-    connection::{discovery::follower::EndpointListSink, endpoint_pool::EndpointPool},
+    connection::{
+        body_memory::BodyMemory, discovery::follower::EndpointListSink, endpoint_pool::EndpointPool,
+    },
     hot_restart::{
         maintenance_file::MaintenanceFile, peer_connection::ReplicaHandler, replica_counts::ReplicaCounts,
         replica_table::ReplicaTable,
@@ -45,6 +47,7 @@
     poll_requested: Rc<Notify>,
     replicas: Rc<ReplicaTable>,
     replica_counts: Rc<ReplicaCounts>,
+    body_memory: Rc<BodyMemory>,
 }
 
 impl Driver {
@@ -64,8 +67,9 @@
         let clock = Rc::new(Clock::new());
         let timers = Rc::new(Timers::default());
         let table = Rc::new(RequestTable::default());
-        let endpoints = endpoint_pool(config, endpoint_budget, metrics);
         let replica_counts = Rc::new(ReplicaCounts::default());
+        let body_memory = BodyMemory::new(config.body_memory_bytes(), replica_counts.clone());
+        let endpoints = endpoint_pool(config, endpoint_budget, metrics, body_memory.clone());
         let replicas = ReplicaTable::new(&config.name, config.max_list_bytes(), replica_counts.clone());
         let file = config.operator.and_then(|_| MaintenanceFile::new(&config.name));
         let driver = Rc::new_cyclic(|driver: &Weak<Self>| {
@@ -94,6 +98,7 @@
                 poll_requested,
                 replicas,
                 replica_counts,
+                body_memory,
             }
         });
         driver.update_endpoints(ListKind::Stale, cached_endpoints);
@@ -125,6 +130,11 @@
         &self.replica_counts
     }
 
+    /// Returns the memory budget for bodies in transit.
+    pub fn body_memory(&self) -> &Rc<BodyMemory> {
+        &self.body_memory
+    }
+
     /// Returns the signal that is notified when the policy requests a poll of discovery.
     pub fn poll_requested(&self) -> &Rc<Notify> {
         &self.poll_requested
@@ -179,12 +189,18 @@
 }
 
 /// Creates the pool of connections to endpoints, of which at most `budget` may be open.
-fn endpoint_pool(config: &Config, budget: usize, metrics: &Metrics) -> Rc<EndpointPool> {
+fn endpoint_pool(
+    config: &Config,
+    budget: usize,
+    metrics: &Metrics,
+    body_memory: Rc<BodyMemory>,
+) -> Rc<EndpointPool> {
     Rc::new(EndpointPool::new(
         budget,
         Duration::from_secs_f64(config.options.endpoint_idle_timeout),
         Duration::from_secs_f64(config.options.connect_timeout),
         metrics.dispatches.clone(),
+        body_memory,
     ))
 }
 
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -1,9 +1,9 @@
 //! State of one open request and its attempts.
 
 use crate::node::{
-    connection::{clients::FinalResponse, write_progress::WriteProgressHandle},
+    connection::{body_memory::MemoryPermit, clients::FinalResponse, write_progress::WriteProgressHandle},
     runtime::timers::TimerKey,
-    wire::client_request::UpstreamRequest,
+    wire::{client_request::UpstreamRequest, stream::RequestBody},
 };
 use oliverack::{EndpointId, Seconds, Time};
 use std::rc::Rc;
@@ -62,6 +62,8 @@
     /// Time from which endpoints may forget the idempotency key, so that no attempt may be written any more. Infinite
     /// without such a limit.
     dedup_until: Time,
+    /// Memory reserved for the request's body; `None` if the body has no reservation, or a response has taken it over.
+    body_memory: Option<MemoryPermit>,
     /// Attempts, indexed by their number; `None` once an attempt has ended.
     attempts: Vec<Option<InFlightAttempt>>,
 }
@@ -80,6 +82,7 @@
             deadline: None,
             deadline_timer: None,
             dedup_until: f64::INFINITY,
+            body_memory: None,
             attempts: Vec::new(),
         }
     }
@@ -89,6 +92,18 @@
         &self.upstream
     }
 
+    /// Holds the memory that is reserved for the request's body until the request is finished.
+    pub fn hold_body_memory(&mut self, memory: MemoryPermit) {
+        self.body_memory = Some(memory);
+    }
+
+    /// Takes the memory that is reserved for a streamed body. Returns `None` if the body is buffered, as the request
+    /// still holds it.
+    pub fn take_upload_memory(&mut self) -> Option<MemoryPermit> {
+        let is_streamed = matches!(self.upstream.body, RequestBody::Streamed(_));
+        if is_streamed { self.body_memory.take() } else { None }
+    }
+
     /// Returns whether the client waits for the final response.
     pub fn is_waiting(&self) -> bool {
         self.response.is_some()
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -1,7 +1,10 @@
 //! Accepts the requests of clients and gives each exactly one final response.
 
 use crate::node::{
-    connection::clients::{FinalResponse, RequestHandler},
+    connection::{
+        body_memory::MemoryPermit,
+        clients::{FinalResponse, RequestHandler},
+    },
     runtime::{
         attempts::Attempts,
         clock::Clock,
@@ -88,13 +91,18 @@
 }
 
 impl RequestHandler for Rc<Requests> {
-    fn accept(&self, request: ClientRequest) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)> {
+    fn accept(
+        &self,
+        request: ClientRequest,
+        body_memory: MemoryPermit,
+    ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)> {
         let request_id = self.table.reserve_id(&request.upstream.transaction_id)?;
         debug!(request = ?request.upstream.transaction_id, customer = request.customer, class = request.class, "request accepted");
         let deadline = self.clock.now() + request.remaining_seconds;
         let (response, receiver) = oneshot::channel();
         let upstream = Rc::new(request.upstream);
-        let open_request = OpenRequest::new(response, upstream.clone(), request.remaining_seconds);
+        let mut open_request = OpenRequest::new(response, upstream.clone(), request.remaining_seconds);
+        open_request.hold_body_memory(body_memory);
         self.table.insert(request_id.clone(), open_request);
         if matches!(upstream.body, RequestBody::Buffered(_)) {
             self.request_body_received(&request_id);
--- a/src/node/wire/client_response.rs
+++ b/src/node/wire/client_response.rs
@@ -59,15 +59,15 @@
         minor_version > 0 || !matches!(self.body, ResponseBody::Streamed { length: None, .. })
     }
 
-    /// Returns the bytes of the head, followed by the body if it is buffered.
-    pub fn render(&self, keep_alive: bool, minor_version: u8) -> Vec<u8> {
+    /// Returns the bytes of the head.
+    pub fn render_head(&self, keep_alive: bool, minor_version: u8) -> Bytes {
         let code = self.status.as_str();
         let reason = self.status.canonical_reason().unwrap_or_default();
-        let (length, body) = match &self.body {
-            ResponseBody::Buffered(body) => (Some(body.len() as u64), &body[..]),
-            ResponseBody::Streamed { length, .. } => (*length, &[][..]),
+        let length = match &self.body {
+            ResponseBody::Buffered(body) => Some(body.len() as u64),
+            ResponseBody::Streamed { length, .. } => *length,
         };
-        let mut output = Vec::with_capacity(HEAD_CAPACITY_BYTES + body.len());
+        let mut output = Vec::with_capacity(HEAD_CAPACITY_BYTES);
         // Writing to a vector does not fail.
         let _ = write!(output, "HTTP/1.1 {code} {reason}\r\n");
         if let Some(length) = length {
@@ -79,7 +79,6 @@
             let _ = write!(output, "Retry-After: {:.3}\r\n", self.retry_after);
         }
         output.extend_from_slice(if keep_alive { b"\r\n" } else { b"Connection: close\r\n\r\n" });
-        output.extend_from_slice(body);
-        output
+        output.into()
     }
 }
--- a/src/node/wire/stream.rs
+++ b/src/node/wire/stream.rs
@@ -14,8 +14,13 @@
 
 /// Maximum length of a data frame of a request body, and of one read from a client's socket.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024;
-/// Memory that a stream may use: a frame just read, one in the channel, one being written, and hyper's own buffer.
-pub const STREAM_MEMORY_BYTES: usize = 4 * MAX_FRAME_BYTES;
+/// Memory of a streamed request body: a frame just read, one in the channel, and two frames that hyper writes.
+pub const REQUEST_STREAM_MEMORY_BYTES: usize = 4 * MAX_FRAME_BYTES;
+/// Maximum length of a data frame of a response body, which is read from an endpoint's socket at once.
+pub const MAX_RESPONSE_FRAME_BYTES: usize = 8 * 1024;
+/// Memory of a streamed response body: a frame that hyper has just read, one in the channel, and one being written. It
+/// is small, as clients with a request in flight may hold a third of the descriptors.
+pub const RESPONSE_STREAM_MEMORY_BYTES: usize = 3 * MAX_RESPONSE_FRAME_BYTES;
 
 /// A frame of a streamed body, or the end of the body.
 #[derive(Debug)]
--- /dev/null
+++ b/tests/slow_clients.rs
@@ -0,0 +1,118 @@
+//! Clients that take long responses slowly: the gateway stays within its memory limit and answers every request.
+
+mod fakes;
+use fakes::{Client, EndpointBehaviour, FakeEndpoint, LaunchOptions, Node, NodeBuilder, TestRequest};
+use serde_json::json;
+use std::{
+    fs,
+    io::BufRead,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Length of a response that slow clients take.
+const LONG_RESPONSE_BYTES: usize = 1_000_000;
+/// Length of a chunk of it.
+const CHUNK_BYTES: usize = 16_000;
+/// Clients that the tests start; they may hold up to a third of 1,024 descriptors.
+const CLIENTS: usize = 320;
+/// Time between the starts of two clients.
+const CLIENT_INTERVAL: Duration = Duration::from_millis(5);
+/// Interval between two looks at the memory of the gateway.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Returns a response in chunks, with a body of this length.
+fn chunked_response(length: usize) -> &'static str {
+    let chunk = ".".repeat(CHUNK_BYTES);
+    let chunks = format!("{CHUNK_BYTES:x}\r\n{chunk}\r\n").repeat(length.div_ceil(CHUNK_BYTES));
+    format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n").leak()
+}
+
+/// Starts a gateway with this memory limit and 1,024 descriptors, of which its clients may hold a third.
+fn start_with_memory(endpoints: &[&FakeEndpoint], memory_mb: usize) -> Node {
+    let (mut builder, _discovery) = NodeBuilder::new(endpoints);
+    builder.max_sockets(1024);
+    let mut config = builder.config();
+    config["limits"]["memory_mb"] = json!(memory_mb);
+    builder.start_with_config(&config.to_string(), &LaunchOptions::default())
+}
+
+/// Sends the request of one client, which reads nothing.
+fn send_from_slow_client(gateway: SocketAddr, number: usize, remaining_seconds: &str) -> Client {
+    let mut client = Client::connect(gateway);
+    let request = TestRequest::new(&format!("slow{number}"))
+        .with_header("X-Customer", &format!("{number:016x}"))
+        .with_header("X-Remaining", remaining_seconds);
+    client.send(&request);
+    client
+}
+
+/// Returns the memory that the gateway holds for itself, without files and shared libraries.
+fn memory_bytes(node: &Node) -> usize {
+    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
+    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the memory");
+    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") << 10
+}
+
+/// Returns the status of the next response without reading its body; `None` if the connection ends before.
+fn read_status(client: &mut Client) -> Option<u16> {
+    let mut line = String::new();
+    client.reader.read_line(&mut line).ok()?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+/// Guards against buffers for long responses that no memory is reserved for, which drove gateways over their limit.
+#[test]
+fn slow_clients_of_long_responses_do_not_exceed_memory_limit() {
+    const MEMORY_MB: usize = 32;
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
+    let node = start_with_memory(&[&endpoint], MEMORY_MB);
+    let mut most_memory = 0;
+    let mut clients = Vec::new();
+    for number in 0..CLIENTS {
+        clients.push(send_from_slow_client(node.addr, number, "25.0"));
+        thread::sleep(CLIENT_INTERVAL);
+        most_memory = most_memory.max(memory_bytes(&node));
+    }
+    for _ in 0..50 {
+        thread::sleep(LOOK_INTERVAL);
+        most_memory = most_memory.max(memory_bytes(&node));
+    }
+    assert!(most_memory <= MEMORY_MB << 20, "{most_memory} bytes");
+    for client in &mut clients {
+        assert_eq!(read_status(client), Some(200));
+    }
+    endpoint.set_behaviour(EndpointBehaviour::WriteRaw(chunked_response(100_000)));
+    assert_eq!(node.send_request(&TestRequest::new("other")).status(), 200, "other clients are served");
+}
+
+/// Guards against responses that wait for memory until their client's connection is closed without an answer.
+#[test]
+fn response_that_waits_for_memory_is_answered_in_time() {
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
+    // Its quarter for bodies is too little for the responses to all clients.
+    let node = start_with_memory(&[&endpoint], 16);
+    let gateway = node.addr;
+    let serve = |number: usize| {
+        thread::sleep(CLIENT_INTERVAL * number as u32);
+        let mut client = send_from_slow_client(gateway, number, "1.0");
+        let sent_at = Instant::now();
+        let status = read_status(&mut client);
+        (client, status, sent_at.elapsed())
+    };
+    let outcomes: Vec<(Client, Option<u16>, Duration)> = thread::scope(|scope| {
+        let threads: Vec<_> = (0..CLIENTS).map(|number| scope.spawn(move || serve(number))).collect();
+        threads.into_iter().map(|thread| thread.join().expect("no panic")).collect()
+    });
+    for (_, status, elapsed) in &outcomes {
+        assert!(matches!(status, Some(200 | 429 | 502)), "{status:?} after {elapsed:?}");
+        // Half a second after its time a request is lost.
+        assert!(*elapsed < Duration::from_millis(1500), "{status:?} after {elapsed:?}");
+    }
+    let statuses: Vec<Option<u16>> = outcomes.iter().map(|(_, status, _)| *status).collect();
+    assert!(statuses.contains(&Some(200)), "{statuses:?}");
+    drop(outcomes);
+    endpoint.set_behaviour(EndpointBehaviour::WriteRaw(chunked_response(100_000)));
+    while node.send_request(&TestRequest::new("other")).status() != 200 {}
+}
--- a/tests/unit/open_request.rs
+++ b/tests/unit/open_request.rs
@@ -1,7 +1,7 @@
 //! Tests of an open request: its time limits, its one final response, and its attempts.
 
 use super::*;
-use crate::node::wire::stream::RequestBody;
+use crate::node::connection::response_body::BufferedBody;
 use bytes::Bytes;
 use hyper::{Method, Uri, header::HeaderValue};
 
@@ -55,7 +55,7 @@
 fn only_first_response_is_delivered() {
     let (mut request, mut receiver) = open_request();
     assert!(request.is_waiting() && !request.is_finished());
-    assert_eq!(request.deliver(FinalResponse::Served(Bytes::new())), DeliveryOutcome::Delivered);
+    assert_eq!(request.deliver(FinalResponse::Served(BufferedBody::default())), DeliveryOutcome::Delivered);
     assert_eq!(request.deliver(FinalResponse::Failed), DeliveryOutcome::NotWaiting);
     assert!(!request.is_waiting() && request.is_finished());
     assert!(matches!(receiver.try_recv(), Ok(FinalResponse::Served(_))));
