Write requests to endpoints without copying their bodies

Callers would see: a gateway killed for memory that no request holds. 240 requests with bodies of 500,000 bytes, one after the other, to 60 endpoints left 32,505,856 bytes in an idle gateway.

Cause: the socket to an endpoint had no vectored writes, so hyper copied head and body into one buffer and kept its capacity for the connection's next request. Neither was reserved.

Change: the socket supports vectored writes, so hyper queues the body's own bytes and drops them once written. Reads of the largest frame fill hyper's buffer again.

--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -9,7 +9,10 @@
         socket_input::has_input,
         write_progress::{CountingSocket, WriteProgress},
     },
-    wire::{limits::MAX_HEAD_BYTES, stream::OutgoingBody},
+    wire::{
+        limits::MAX_HEAD_BYTES,
+        stream::{MAX_RESPONSE_FRAME_BYTES, OutgoingBody},
+    },
 };
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::{Request, Response, body::Body};
@@ -78,8 +81,9 @@
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
         let progress = Rc::new(WriteProgress::default());
-        // hyper doubles its read buffer after a read that fills it.
-        let max_read_bytes = max_frame_bytes - 1;
+        // hyper doubles its read buffer after a read that fills it, up to the largest frame.
+        let is_largest = max_frame_bytes >= MAX_RESPONSE_FRAME_BYTES;
+        let max_read_bytes = if is_largest { max_frame_bytes } else { max_frame_bytes - 1 };
         let counting_socket =
             CountingSocket { socket: socket.clone(), progress: progress.clone(), max_read_bytes };
         let handshake = Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(counting_socket));
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
+    io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -94,8 +94,8 @@
     }
 }
 
-/// Socket that records the write progress. It doesn't support vectored writes, so that hyper writes the head,
-/// together with what it has of the body, from one buffer.
+/// Socket that records the write progress. It supports vectored writes, so that hyper doesn't copy bodies into its own
+/// buffer, which would keep the size of the longest one. hyper offers the head as the first slice.
 pub struct CountingSocket {
     pub socket: Rc<TcpStream>,
     pub progress: Rc<WriteProgress>,
@@ -128,9 +128,19 @@
 
 impl AsyncWrite for CountingSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.progress.record_first_write(bytes);
+        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(first_slice) = slices.first() {
+            self.progress.record_first_write(first_slice);
+        }
         loop {
-            match self.socket.try_write(bytes) {
+            match self.socket.try_write_vectored(slices) {
                 Ok(count) => {
                     self.progress.record_written(count);
                     return Poll::Ready(Ok(count));
@@ -142,6 +152,10 @@
         }
     }
 
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
