Reserve memory for long heads and drop them once they are parsed

Callers would see: a gateway killed for memory under clients with long heads. 320 slow clients with heads of 15 kB and 300 half-written heads took 35,037,184 bytes of 32 MB.

Cause: the buffer of a connection grew with the head, up to 16 KiB, without a reservation, and was kept until the response, as were all parsed headers.

Change: bytes of a head beyond 4 KiB are reserved while they are read, else the request gets 503. Headers and buffer are dropped after parsing. Forwarded parts of over 1 KiB are reserved with the body.

--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -4,7 +4,7 @@
     connection::clients::{
         context::ConnectionContext,
         exchange::Exchange,
-        request_reader::{self, ReceivedBody},
+        request_reader::{self, NO_MEMORY, ReceivedBody},
         response_writer::Delivery,
         socket::ClientSocket,
         state::{ConnectionEnd, ConnectionState, Stage},
@@ -13,7 +13,7 @@
     wire::{
         client_request::{ClientRequest, InvalidRequest},
         client_response::ClientResponse,
-        request_head::RequestHead,
+        request_head::{ExchangeOptions, RequestHead},
     },
 };
 use hyper::StatusCode;
@@ -22,6 +22,9 @@
 /// Path of the health check for load balancers in front of the gateway.
 const HEALTH_CHECK_PATH: &str = "/up";
 
+/// Longest parts of a head that are forwarded without a reservation of memory; most requests have shorter ones.
+const MAX_UNRESERVED_HEAD_BYTES: usize = 1024;
+
 /// Server for the requests on one client's connection.
 pub struct ClientConnection<'c> {
     context: &'c ConnectionContext,
@@ -64,7 +67,11 @@
     async fn serve_next_request(&mut self) -> Result<(), ConnectionEnd> {
         let head = request_reader::read_head(&mut self.socket).await?;
         let request = self.parse_request(&head);
-        let body = match request_reader::read_body(&mut self.socket, &head).await {
+        let options = head.exchange_options();
+        // A long head would take memory until the response.
+        drop(head);
+        self.socket.release_empty_buffer();
+        let body = match request_reader::read_body(&mut self.socket, options).await {
             Ok(body) => body,
             Err(connection_end) => {
                 if let Ok(request) = &request {
@@ -74,8 +81,8 @@
             }
         };
         match request {
-            Ok(request) => self.serve_request(request, body, &head).await,
-            Err(status) => self.respond_without_handler(status, body, &head).await,
+            Ok(request) => self.serve_request(request, body, options).await,
+            Err(status) => self.respond_without_handler(status, body, options).await,
         }
     }
 
@@ -98,17 +105,25 @@
     async fn serve_request(
         &mut self,
         request: ClientRequest,
-        body: ReceivedBody,
-        head: &RequestHead,
+        mut body: ReceivedBody,
+        options: ExchangeOptions,
     ) -> Result<(), ConnectionEnd> {
+        let head_bytes = request.upstream.head_bytes();
+        if head_bytes > MAX_UNRESERVED_HEAD_BYTES {
+            let needed = body.memory.bytes() + head_bytes;
+            if body.memory.extend_to(needed).is_none() {
+                self.count_out_of_memory_rejection(&request, &NO_MEMORY);
+                return Err(NO_MEMORY);
+            }
+        }
         let mut exchange = Exchange::new(&mut self.socket);
         let in_flight = self.context.metrics.request_started(request.class);
         let response = match exchange.submit(request, body) {
-            Some(mut accepted) => exchange.wait_for_response(&mut accepted, head.expects_continue).await?,
+            Some(mut accepted) => exchange.wait_for_response(&mut accepted, options.expects_continue).await?,
             None => ClientResponse::without_body(StatusCode::CONFLICT),
         };
-        let keep_alive = may_keep_alive(self.context, &exchange, &response, head);
-        let delivery = exchange.respond(response, keep_alive, head.minor_version).await?;
+        let keep_alive = may_keep_alive(self.context, &exchange, &response, options);
+        let delivery = exchange.respond(response, keep_alive, options.minor_version).await?;
         in_flight.end(delivery.outcome());
         finish_exchange(exchange, &delivery, keep_alive).await
     }
@@ -117,12 +132,12 @@
         &mut self,
         status: StatusCode,
         body: ReceivedBody,
-        head: &RequestHead,
+        options: ExchangeOptions,
     ) -> Result<(), ConnectionEnd> {
         let mut exchange = Exchange::without_handler(&mut self.socket, body);
         let response = ClientResponse::without_body(status);
-        let keep_alive = may_keep_alive(self.context, &exchange, &response, head);
-        let delivery = exchange.respond(response, keep_alive, head.minor_version).await?;
+        let keep_alive = may_keep_alive(self.context, &exchange, &response, options);
+        let delivery = exchange.respond(response, keep_alive, options.minor_version).await?;
         finish_exchange(exchange, &delivery, keep_alive).await
     }
 }
@@ -132,10 +147,10 @@
     context: &ConnectionContext,
     exchange: &Exchange<'_, '_>,
     response: &ClientResponse,
-    head: &RequestHead,
+    options: ExchangeOptions,
 ) -> bool {
-    head.allows_keep_alive
-        && response.is_self_delimiting(head.minor_version)
+    options.allows_keep_alive
+        && response.is_self_delimiting(options.minor_version)
         && !context.is_stopping.get()
         && !exchange.has_unread_body()
 }
--- a/src/node/connection/clients/request_reader.rs
+++ b/src/node/connection/clients/request_reader.rs
@@ -11,7 +11,7 @@
     wire::{
         limits::MAX_BUFFERED_BODY_BYTES,
         request_body::{BodyDecoder, Framing},
-        request_head::{self, RequestHead},
+        request_head::{self, ExchangeOptions, RequestHead},
         stream::{MAX_FRAME_BYTES, REQUEST_STREAM_MEMORY_BYTES},
     },
 };
@@ -20,8 +20,8 @@
 
 /// Largest number of bytes read at once for a head or a short body.
 const HEAD_READ_BYTES: usize = 4096;
-/// End of a connection when there is no memory for a request body.
-const NO_MEMORY: ConnectionEnd = ConnectionEnd::WithStatus(StatusCode::SERVICE_UNAVAILABLE);
+/// End of a connection when there is no memory for a request.
+pub const NO_MEMORY: ConnectionEnd = ConnectionEnd::WithStatus(StatusCode::SERVICE_UNAVAILABLE);
 
 /// A request body and the memory reserved for it.
 pub struct ReceivedBody {
@@ -64,6 +64,7 @@
                 return Ok(head);
             }
         }
+        socket.reserve_buffer().ok_or(NO_MEMORY)?;
         socket.read(HEAD_READ_BYTES).await?;
     }
 }
@@ -71,22 +72,22 @@
 /// Reads the complete body. If the body is too large to be buffered, reads only as much as shows that.
 pub async fn read_body(
     socket: &mut ClientSocket<'_>,
-    head: &RequestHead,
+    options: ExchangeOptions,
 ) -> Result<ReceivedBody, ConnectionEnd> {
     let body_memory = &socket.context.memory;
-    let length = head.framing.length();
+    let length = options.framing.length();
     if length.is_some_and(|length| must_stream(length, body_memory)) {
         let memory = body_memory.reserve(REQUEST_STREAM_MEMORY_BYTES).ok_or(NO_MEMORY)?;
-        let decoder = BodyDecoder::new(head.framing);
+        let decoder = BodyDecoder::new(options.framing);
         let content = ReceivedContent::Partial { received: BytesMut::new(), decoder, length };
         return Ok(ReceivedBody { content, memory });
     }
     // Memory is reserved as bytes arrive, because an announced body may never come.
     let memory = body_memory.empty_permit();
-    if head.expects_continue && length != Some(0) && socket.buffer.is_empty() {
+    if options.expects_continue && length != Some(0) && socket.buffer.is_empty() {
         socket.send_continue().await;
     }
-    buffer_body(socket, head.framing, memory).await
+    buffer_body(socket, options.framing, memory).await
 }
 
 /// Returns whether a body of this length is streamed from the start.
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -21,6 +21,8 @@
 
 /// Interim response that asks the client to send the body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Bytes in the buffer of a connection for which no memory is reserved; most heads have fewer.
+const UNRESERVED_BUFFER_BYTES: usize = 4096;
 /// Largest number of bytes read at once while a connection closes.
 const LINGER_READ_BYTES: usize = 4096;
 /// Highest number of reads while a connection closes: 256 KiB in total.
@@ -33,8 +35,8 @@
     pub state: &'c ConnectionState,
     /// Bytes that were received and not yet consumed.
     pub buffer: BytesMut,
-    /// Memory reserved for bytes that are read into the buffer while the gateway works on a request.
-    read_ahead_memory: MemoryPermit,
+    /// Memory reserved for the bytes in the buffer: of a long head, or read while the gateway works on a request.
+    buffer_memory: MemoryPermit,
 }
 
 /// Meaning of a wake-up by [`ConnectionState::close_signal`].
@@ -50,8 +52,8 @@
 impl<'c> ClientSocket<'c> {
     /// Wraps a newly accepted socket.
     pub fn new(context: &'c ConnectionContext, tcp: TcpStream, state: &'c ConnectionState) -> Self {
-        let read_ahead_memory = context.memory.empty_permit();
-        Self { context, tcp, state, buffer: BytesMut::new(), read_ahead_memory }
+        let buffer_memory = context.memory.empty_permit();
+        Self { context, tcp, state, buffer: BytesMut::new(), buffer_memory }
     }
 
     /// Frees the buffer if it is empty, so that idle connections hold no memory.
@@ -64,7 +66,16 @@
     /// Frees the buffer and discards the bytes in it.
     pub fn release_buffer(&mut self) {
         self.buffer = BytesMut::new();
-        self.read_ahead_memory = self.context.memory.empty_permit();
+        self.buffer_memory = self.context.memory.empty_permit();
+    }
+
+    /// Reserves memory for the bytes in the buffer if they are more than every connection may hold. Returns `None` if
+    /// memory is short.
+    pub fn reserve_buffer(&mut self) -> Option<()> {
+        if self.buffer.len() <= UNRESERVED_BUFFER_BYTES {
+            return Some(());
+        }
+        self.buffer_memory.extend_to(self.buffer.len())
     }
 
     /// Waits for bytes of a request and reads up to about `max_bytes` into the buffer.
@@ -128,7 +139,7 @@
                 ready = self.tcp.readable() => if ready.is_err() { return },
             }
             let needed = self.buffer.len() + MAX_FRAME_BYTES;
-            if self.read_ahead_memory.extend_to(needed).is_none() {
+            if self.buffer_memory.extend_to(needed).is_none() {
                 break;
             }
             self.buffer.reserve(MAX_FRAME_BYTES);
--- a/src/node/wire/client_request.rs
+++ b/src/node/wire/client_request.rs
@@ -51,6 +51,14 @@
 }
 
 impl UpstreamRequest {
+    /// Returns the length of the parts of the head that are forwarded, in bytes.
+    pub fn head_bytes(&self) -> usize {
+        let headers = [Some(&self.transaction_id), self.idempotency_key.as_ref(), self.content_type.as_ref()];
+        let header_bytes: usize = headers.into_iter().flatten().map(HeaderValue::len).sum();
+        let target_bytes = self.uri.path_and_query().map_or(0, |target| target.as_str().len());
+        target_bytes + header_bytes
+    }
+
     /// Builds the request for one attempt, which tells the endpoint the attempt's timeout. Returns `None` if the body
     /// is streamed and an earlier attempt has taken it.
     pub fn build_attempt_request(&self, timeout_seconds: f64) -> Option<Request<OutgoingBody>> {
--- a/src/node/wire/request_head.rs
+++ b/src/node/wire/request_head.rs
@@ -68,6 +68,31 @@
     pub expects_continue: bool,
 }
 
+/// What an exchange needs of the request's head after the request was parsed.
+#[derive(Debug, Clone, Copy)]
+pub struct ExchangeOptions {
+    /// Framing of the request's body.
+    pub framing: Framing,
+    /// Minor version of HTTP/1.
+    pub minor_version: u8,
+    /// True if the client allows the connection to stay open after the response.
+    pub allows_keep_alive: bool,
+    /// True if the client may wait for `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+}
+
+impl RequestHead {
+    /// Returns the part of the head that is needed to the end of the exchange.
+    pub fn exchange_options(&self) -> ExchangeOptions {
+        ExchangeOptions {
+            framing: self.framing,
+            minor_version: self.minor_version,
+            allows_keep_alive: self.allows_keep_alive,
+            expects_continue: self.expects_continue,
+        }
+    }
+}
+
 /// Removes a complete head from the buffer and returns it; returns `None` while it is incomplete. `scanned_bytes` keeps
 /// the number of bytes that earlier calls for the same request have searched; the caller starts a request with 0.
 ///
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 use std::{
     fs,
-    io::BufRead,
+    io::{BufRead, Write},
     net::SocketAddr,
     thread,
     time::{Duration, Instant},
@@ -147,3 +147,51 @@
     let idle_memory = memory_bytes(&node);
     assert!(idle_memory <= 8 << 20, "{idle_memory} bytes");
 }
+
+/// Guards against heads of requests that no memory is reserved for, whether they are complete or not.
+#[test]
+fn long_heads_do_not_exceed_memory_limit() {
+    const MEMORY_MB: usize = 32;
+    const INCOMPLETE_HEADS: usize = 300;
+    let padding = "p".repeat(15_000);
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
+    let node = start_with_memory(&[&endpoint], MEMORY_MB);
+    let mut most_memory = 0;
+    let mut clients = Vec::new();
+    while clients.len() < CLIENTS {
+        let mut client = node.connect();
+        let request = TestRequest::new(&format!("long{}", clients.len()))
+            .with_header("X-Customer", &format!("{:016x}", clients.len()))
+            .with_header("X-Padding", &padding);
+        client.send(&request);
+        match read_status(&mut client) {
+            Some(200) => clients.push(client),
+            // The load shedder may reject a request at once.
+            Some(429) => {}
+            status => panic!("{status:?} for client {}", clients.len()),
+        }
+        thread::sleep(CLIENT_INTERVAL);
+    }
+    let incomplete_head = format!("GET /check-answer HTTP/1.1\r\nX-Padding: {padding}");
+    let stalled_clients: Vec<Client> = (0..INCOMPLETE_HEADS)
+        .map(|_| {
+            let mut client = node.connect();
+            let _ = client.reader.get_mut().write_all(incomplete_head.as_bytes());
+            most_memory = most_memory.max(memory_bytes(&node));
+            client
+        })
+        .collect();
+    for _ in 0..20 {
+        thread::sleep(LOOK_INTERVAL);
+        most_memory = most_memory.max(memory_bytes(&node));
+    }
+    assert!(most_memory <= MEMORY_MB << 20, "{most_memory} bytes");
+    for mut client in stalled_clients {
+        let received = client.read_until_closed();
+        assert!(
+            received.is_empty()
+                || received.starts_with("HTTP/1.1 408 ")
+                || received.starts_with("HTTP/1.1 503 ")
+        );
+    }
+}
