Keep no bodies of responses other than 200

Callers would see: 502 for a request that its endpoint has turned away, while more than half of the memory for bodies is in use.

Change: bodies of other responses than 200 are read to their end but not kept, so they need no memory.

Measured: the new test got 502 before and gets 429 now.

--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
-    Version,
+    StatusCode, Version,
     body::{Body, Incoming},
     header::{CONNECTION, TRANSFER_ENCODING},
     http::response::Parts,
@@ -99,7 +99,9 @@
     if length.is_none() && !is_end_detectable(parts) {
         return Err(ResponseBodyError::UnannouncedClose);
     }
-    let mut buffer = BodyBuffer::new(length, sink.memory());
+    // The body of another response is read to its end, so that the connection can be reused, but it is not kept.
+    let is_kept = parts.status == StatusCode::OK;
+    let mut buffer = BodyBuffer::new(length, sink.memory(), is_kept);
     let excess = match buffer.fill(&mut body, limits).await? {
         Filled::Complete => return Ok(buffer.into_body()),
         Filled::Partial { excess } => excess,
@@ -136,21 +138,26 @@
 /// Buffer for the beginning of a body. Memory is reserved before data is added.
 struct BodyBuffer {
     length: Option<u64>,
+    /// False if the data is only counted.
+    is_kept: bool,
+    /// Number of bytes of the body that were read.
+    received_bytes: usize,
     bytes: BytesMut,
     /// `None` if the buffer limits alone bound the memory.
     memory: Option<MemoryPermit>,
 }
 
 impl BodyBuffer {
-    fn new(length: Option<u64>, memory: Option<&Rc<BodyMemory>>) -> Self {
-        Self { length, bytes: BytesMut::new(), memory: memory.map(BodyMemory::empty_permit) }
+    fn new(length: Option<u64>, memory: Option<&Rc<BodyMemory>>, is_kept: bool) -> Self {
+        let memory = memory.map(BodyMemory::empty_permit);
+        Self { length, is_kept, received_bytes: 0, bytes: BytesMut::new(), memory }
     }
 
     /// Reads the body until it is complete or exceeds the limits.
     async fn fill(&mut self, body: &mut Incoming, limits: BufferLimits) -> Result<Filled, ResponseBodyError> {
         let time_limit = sleep(limits.max_time);
         tokio::pin!(time_limit);
-        while limits.can_buffer(self.length) && self.bytes.len() <= limits.max_bytes {
+        while limits.can_buffer(self.length) && self.received_bytes <= limits.max_bytes {
             let frame = tokio::select! {
                 biased;
                 frame = timeout(BUFFER_STALL_TIMEOUT, body.frame()) => {
@@ -161,10 +168,13 @@
             let Some(frame) = frame else { return Ok(Filled::Complete) };
             // A frame without data holds trailers, which are ignored.
             let data = frame?.into_data().unwrap_or_default();
-            if self.reserve(data.len()).is_none() {
-                return Ok(Filled::Partial { excess: data });
+            self.received_bytes += data.len();
+            if self.is_kept {
+                if self.reserve(data.len()).is_none() {
+                    return Ok(Filled::Partial { excess: data });
+                }
+                self.bytes.extend_from_slice(&data);
             }
-            self.bytes.extend_from_slice(&data);
         }
         Ok(Filled::Partial { excess: Bytes::new() })
     }
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -195,3 +195,24 @@
         );
     }
 }
+
+/// Guards against a rejection by an endpoint that counts as a failure because there is no memory to buffer its body.
+#[test]
+fn rejection_with_long_body_counts_while_memory_is_short() {
+    const SLOW_CLIENTS: usize = 120;
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
+    // Its quarter for bodies is more than half used by the slow clients.
+    let node = start_with_memory(&[&endpoint], 16);
+    let mut clients = Vec::new();
+    while clients.len() < SLOW_CLIENTS {
+        let mut client = send_from_slow_client(node.addr, clients.len(), "25.0");
+        if read_status(&mut client) == Some(200) {
+            clients.push(client);
+        }
+    }
+    let body = ".".repeat(20_000);
+    let rejection =
+        format!("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    endpoint.set_behaviour(EndpointBehaviour::WriteRaw(rejection.leak()));
+    assert_eq!(node.send_request(&TestRequest::at_most_once("busy")).status(), 429, "the request never ran");
+}
