Log the reason of each close, rejection, failure and broken response at debug

Each rejection now carries a typed reason from the policy, each end of a client connection its reason, stage and last request, each attempt how far it had come, and a broken response the error, inside a span with the request's id.

--- a/lab/src/fleet/simulation/mod.rs
+++ b/lab/src/fleet/simulation/mod.rs
@@ -183,7 +183,7 @@
             Action::StartAttempt { request_id, endpoint, timeout, .. } => {
                 self.start_attempt(from, request_number(&request_id), endpoint, timeout);
             }
-            Action::Reject { request_id, retry_after } => {
+            Action::Reject { request_id, retry_after, .. } => {
                 self.reject(request_number(&request_id), retry_after);
             }
             Action::Fail { request_id } => self.fail(request_number(&request_id)),
--- a/src/bin/oliverack-sim/wire/writer.rs
+++ b/src/bin/oliverack-sim/wire/writer.rs
@@ -19,7 +19,7 @@
         Action::StartAttempt { request_id, endpoint, timeout, .. } => {
             json!(["PLACE", &*request_id, timeout, &*endpoint])
         }
-        Action::Reject { request_id, retry_after } => json!(["PUSH_BACK", &*request_id, retry_after]),
+        Action::Reject { request_id, retry_after, .. } => json!(["PUSH_BACK", &*request_id, retry_after]),
         Action::Fail { request_id } => json!(["SURRENDER", &*request_id]),
         Action::SetTimer { token, at } => json!(["DEFER", token, at]),
         Action::AddToCounter { counter, amount, ttl } => json!(["INCR", counter, amount, ttl]),
--- a/src/interface/action.rs
+++ b/src/interface/action.rs
@@ -2,6 +2,30 @@
 
 use crate::interface::{EndpointId, RequestId, Seconds, Time};
 
+/// Reason why the policy rejects a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum RejectionReason {
+    /// The class or the plan does not exist, the units are invalid, or too little time is left.
+    NotServable,
+    /// The gateway has as many open requests as it may have.
+    TooManyOpenRequests,
+    /// The table of customers is full.
+    TooManyCustomers,
+    /// The endpoints have no spare capacity.
+    NoCapacity,
+    /// The customer's quota does not cover the request.
+    OverQuota,
+    /// The customer's hard ceiling does not cover the request.
+    AboveCeiling,
+    /// The customer has too many attempts in flight.
+    ConcurrencyLimit,
+    /// No endpoint may receive the request, or no time is left to send it.
+    NoEndpoint,
+    /// All attempts have ended without a response.
+    AttemptsEnded,
+}
+
 /// An action for the caller to carry out. Actions are carried out in the order in which
 /// [`crate::Gateway::handle`] appends them.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,6 +51,8 @@
         request_id: RequestId,
         /// Time that the client should wait before a retry; 0 gives no advice.
         retry_after: Seconds,
+        /// Reason for the rejection, for logs only.
+        reason: RejectionReason,
     },
     /// Sends the final response: failed. The request may have run.
     Fail {
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -7,7 +7,7 @@
 mod request;
 mod snapshot;
 
-pub use action::Action;
+pub use action::{Action, RejectionReason};
 pub use endpoint::{Endpoint, EndpointCounts, Lifecycle, ListKind};
 pub use event::Event;
 pub use ids::{CustomerId, EndpointId, RequestId};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub use interface::{
     Action, CustomerId, Endpoint, EndpointCounts, EndpointId, EndpointSnapshot, Event, HandoverSnapshot,
-    Lifecycle, ListKind, LoadReport, Request, RequestId, ResponseTimes, Seconds, Status, Time,
+    Lifecycle, ListKind, LoadReport, RejectionReason, Request, RequestId, ResponseTimes, Seconds, Status,
+    Time,
 };
 pub use policy::Gateway;
 pub use settings::{
--- a/src/node/connection/clients/body_upload.rs
+++ b/src/node/connection/clients/body_upload.rs
@@ -4,7 +4,7 @@
     connection::clients::{
         handler::FinalResponse,
         socket::ClientSocket,
-        state::{ConnectionEnd, Stage},
+        state::{CloseReason, ConnectionEnd, Stage},
     },
     wire::{
         request_body::BodyDecoder,
@@ -132,7 +132,9 @@
             response = &mut *response_receiver => {
                 return Ok(SendOutcome::ResponseArrived(response.unwrap_or(FinalResponse::Failed)));
             }
-            () = socket.wait_for_disconnect() => return Err(ConnectionEnd::WithoutResponse),
+            () = socket.wait_for_disconnect() => {
+                return Err(ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected));
+            }
             sent = self.sender.send(frame) => sent,
         };
         socket.state.exclude_gateway_wait(started_at);
--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -7,7 +7,7 @@
         request_reader::{self, NO_MEMORY, ReceivedBody},
         response_writer::Delivery,
         socket::ClientSocket,
-        state::{ConnectionEnd, ConnectionState, Stage},
+        state::{CloseReason, ConnectionEnd, ConnectionState, Stage},
     },
     metrics,
     wire::{
@@ -40,6 +40,7 @@
     /// Serves requests until the connection ends.
     pub async fn run(&mut self) {
         let connection_end = self.serve_requests().await;
+        self.socket.state.log_end(connection_end.reason());
         self.socket.release_buffer();
         if let ConnectionEnd::WithStatus(status) = connection_end {
             self.socket.state.enter(Stage::WritingResponse);
@@ -116,6 +117,8 @@
                 return Err(NO_MEMORY);
             }
         }
+        let transaction_id = request.upstream.transaction_id.clone();
+        self.socket.state.last_transaction_id.replace(Some(transaction_id));
         let mut exchange = Exchange::new(&mut self.socket);
         let in_flight = self.context.metrics.request_started(request.class);
         let response = match exchange.submit(request, body) {
@@ -162,11 +165,11 @@
     keep_alive: bool,
 ) -> Result<(), ConnectionEnd> {
     if let Delivery::Truncated = delivery {
-        return Err(ConnectionEnd::WithoutResponse);
+        return Err(ConnectionEnd::WithoutResponse(CloseReason::TruncatedResponse));
     }
     if !keep_alive {
         exchange.close().await;
-        return Err(ConnectionEnd::WithoutResponse);
+        return Err(ConnectionEnd::WithoutResponse(CloseReason::AfterResponse));
     }
     Ok(())
 }
--- a/src/node/connection/clients/eviction.rs
+++ b/src/node/connection/clients/eviction.rs
@@ -1,6 +1,6 @@
 //! Evicts a connection to make room for a new one when the connection budget is used up.
 
-use crate::node::connection::clients::state::{ConnectionState, ConnectionTable, Stage};
+use crate::node::connection::clients::state::{CloseReason, ConnectionState, ConnectionTable, Stage};
 use std::{
     rc::Rc,
     time::{Duration, Instant},
@@ -20,6 +20,7 @@
         return;
     }
     if let Some(closing) = longest_inactive(connections, Stage::Closing, MIN_STALL_TIME) {
+        closing.log_end(CloseReason::Evicted);
         closing.abort();
         return;
     }
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -9,7 +9,7 @@
             request_reader::{ReceivedBody, ReceivedContent},
             response_writer::{self, Delivery},
             socket::ClientSocket,
-            state::{ConnectionEnd, Stage},
+            state::{CloseReason, ConnectionEnd, Stage},
         },
     },
     wire::{
@@ -20,6 +20,7 @@
 use bytes::BytesMut;
 use oliverack::RequestId;
 use tokio::sync::oneshot;
+use tracing::debug;
 
 /// Largest number of bytes read at once of a body that is discarded. No memory is reserved for them.
 const DISCARD_READ_BYTES: usize = 4096;
@@ -103,10 +104,13 @@
     ) -> Result<Option<FinalResponse>, ConnectionEnd> {
         match upload.run(self.socket, expects_continue, &mut request.response_receiver).await? {
             UploadOutcome::Complete => {
+                debug!(request = ?self.socket.state.last_transaction_id.borrow(), "request body received");
                 request.handler.request_body_received(&request.id);
                 Ok(None)
             }
             UploadOutcome::ResponseArrived { response, unread_body_decoder } => {
+                let is_body_read = unread_body_decoder.is_none();
+                debug!(request = ?self.socket.state.last_transaction_id.borrow(), is_body_read, "upload ended early");
                 self.unread_body_decoder = unread_body_decoder;
                 Ok(Some(response))
             }
@@ -122,7 +126,9 @@
         tokio::select! {
             biased;
             response = response_receiver => Ok(response.unwrap_or(FinalResponse::Failed)),
-            () = self.socket.wait_for_disconnect() => Err(ConnectionEnd::WithoutResponse),
+            () = self.socket.wait_for_disconnect() => {
+                Err(ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected))
+            }
         }
     }
 
@@ -139,7 +145,7 @@
         let memory = self.response_memory.take();
         response_writer::write_response(self.socket, memory, response, keep_alive, minor_version)
             .await
-            .map_err(|_| ConnectionEnd::WithoutResponse)
+            .map_err(|_| ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected))
     }
 
     /// Closes the connection. Shuts down the sending side first, so that a client that waits for the end of the
--- a/src/node/connection/clients/handler.rs
+++ b/src/node/connection/clients/handler.rs
@@ -9,7 +9,7 @@
     },
 };
 use hyper::StatusCode;
-use oliverack::RequestId;
+use oliverack::{RejectionReason, RequestId};
 use tokio::sync::oneshot;
 
 /// The final response to a request; each request gets exactly one.
@@ -29,6 +29,7 @@
     Rejected {
         /// `Retry-After` in seconds; 0 omits the header.
         retry_after: f64,
+        reason: RejectionReason,
     },
     /// The request failed; an endpoint may have worked on it.
     Failed,
@@ -44,6 +45,14 @@
             Self::Failed => "failed",
         }
     }
+
+    /// Returns the reason of a rejection; `None` for other responses.
+    pub fn rejection_reason(&self) -> Option<RejectionReason> {
+        match self {
+            Self::Rejected { reason, .. } => Some(*reason),
+            Self::Served(_) | Self::Streamed { .. } | Self::Failed => None,
+        }
+    }
 }
 
 impl FinalResponse {
@@ -55,7 +64,7 @@
                 let body = ResponseBody::Streamed { length, frames };
                 (ClientResponse { body, ..ClientResponse::without_body(StatusCode::OK) }, Some(memory))
             }
-            Self::Rejected { retry_after } => {
+            Self::Rejected { retry_after, .. } => {
                 let status = StatusCode::TOO_MANY_REQUESTS;
                 (ClientResponse { retry_after, ..ClientResponse::without_body(status) }, None)
             }
--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -153,7 +153,7 @@
     }
 
     fn serve(self: &Rc<Self>, socket: TcpStream) {
-        let state = Rc::new(ConnectionState::default());
+        let state = Rc::new(ConnectionState::for_client(socket.peer_addr().ok()));
         let registration = self.register(state.clone());
         let task = tokio::task::spawn_local({
             let state = state.clone();
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -5,7 +5,7 @@
         body_memory::{MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
         clients::{
             context::ConnectionContext,
-            state::{ConnectionEnd, ConnectionState, Stage},
+            state::{CloseReason, ConnectionEnd, ConnectionState, Stage},
         },
         socket_input::has_input,
     },
@@ -23,6 +23,8 @@
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Bytes in the buffer of a connection for which no memory is reserved; most heads have fewer.
 const UNRESERVED_BUFFER_BYTES: usize = 4096;
+/// End of a connection that the client has closed or reset.
+const CLIENT_DISCONNECTED: ConnectionEnd = ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected);
 /// Largest number of bytes read at once while a connection closes.
 const LINGER_READ_BYTES: usize = 4096;
 /// Highest number of reads while a connection closes: 256 KiB in total.
@@ -85,7 +87,7 @@
     pub async fn read(&mut self, max_bytes: usize) -> Result<(), ConnectionEnd> {
         loop {
             tokio::select! {
-                ready = self.tcp.readable() => ready.map_err(|_| ConnectionEnd::WithoutResponse)?,
+                ready = self.tcp.readable() => ready.map_err(|_| CLIENT_DISCONNECTED)?,
                 () = self.state.close_signal.notified() => match self.evaluate_close_signal() {
                     CloseSignal::Outdated => continue,
                     CloseSignal::InputPending => {}
@@ -94,13 +96,13 @@
             }
             self.buffer.reserve(max_bytes);
             match self.tcp.try_read_buf(&mut self.buffer) {
-                Ok(0) => return Err(ConnectionEnd::WithoutResponse),
+                Ok(0) => return Err(CLIENT_DISCONNECTED),
                 Ok(count) => {
                     self.state.record_read(count);
                     return Ok(());
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return Err(ConnectionEnd::WithoutResponse),
+                Err(_) => return Err(CLIENT_DISCONNECTED),
             }
         }
     }
@@ -114,8 +116,10 @@
             return CloseSignal::InputPending;
         }
         // An evicted connection gets no last response, because its capacity is needed at once.
-        if self.buffer.is_empty() || self.state.is_evicted.get() {
-            CloseSignal::Close(ConnectionEnd::WithoutResponse)
+        if self.state.is_evicted.get() {
+            CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Evicted))
+        } else if self.buffer.is_empty() {
+            CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Idle))
         } else {
             CloseSignal::Close(ConnectionEnd::WithStatus(StatusCode::REQUEST_TIMEOUT))
         }
--- a/src/node/connection/clients/state.rs
+++ b/src/node/connection/clients/state.rs
@@ -3,13 +3,16 @@
 
 use crate::node::wire::{request_body::BodyError, request_head::HeadError};
 use fnv::FnvHashMap;
-use hyper::StatusCode;
+use hyper::{StatusCode, header::HeaderValue};
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
+use thiserror::Error;
 use tokio::{sync::Notify, task::AbortHandle};
+use tracing::debug;
 
 /// Longest time to receive a request, plus an allowance for each received byte, and longest time between two reads of
 /// it. The time starts when the connection is accepted, and for later requests with the first byte. A client may take
@@ -59,6 +62,10 @@
     pub close_signal: Notify,
     /// The connection's task; `None` until it is spawned.
     pub task: RefCell<Option<AbortHandle>>,
+    /// Address of the client, for logs; `None` if the system does not know it.
+    pub client_address: Option<SocketAddr>,
+    /// Transaction id of the last request, for logs; `None` before the first one.
+    pub last_transaction_id: RefCell<Option<HeaderValue>>,
 }
 
 impl Default for ConnectionState {
@@ -74,11 +81,18 @@
             is_evicted: Cell::new(false),
             close_signal: Notify::new(),
             task: RefCell::default(),
+            client_address: None,
+            last_transaction_id: RefCell::default(),
         }
     }
 }
 
 impl ConnectionState {
+    /// Returns the state of a newly accepted connection from this address.
+    pub fn for_client(client_address: Option<SocketAddr>) -> Self {
+        Self { client_address, ..Self::default() }
+    }
+
     /// Enters a stage and restarts its time, which voids an earlier close request.
     pub fn enter(&self, stage: Stage) {
         let now = Instant::now();
@@ -125,6 +139,24 @@
         self.close_requested_for.get() == Some(self.entered_at.get())
     }
 
+    /// Logs that the connection ends, with the reason.
+    pub fn log_end(&self, reason: CloseReason) {
+        debug!(
+            client = ?self.client_address,
+            stage = ?self.stage.get(),
+            seconds_in_stage = self.entered_at.get().elapsed().as_secs_f64(),
+            last_request = ?self.last_transaction_id.borrow(),
+            %reason,
+            "client connection ended"
+        );
+    }
+
+    /// Aborts the connection's task because its stage has taken too long.
+    pub fn abort_overdue(&self) {
+        self.log_end(CloseReason::StageOverdue);
+        self.abort();
+    }
+
     /// Aborts the connection's task.
     pub fn abort(&self) {
         if let Some(task) = &*self.task.borrow() {
@@ -133,15 +165,44 @@
     }
 }
 
+/// Reason why a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CloseReason {
+    #[error("the client has closed or reset the connection")]
+    ClientDisconnected,
+    #[error("another connection needs the capacity")]
+    Evicted,
+    #[error("no request is open, and the connection was idle for too long or the gateway is shutting down")]
+    Idle,
+    #[error("the last response told the client that the connection closes")]
+    AfterResponse,
+    #[error("only part of a response was sent")]
+    TruncatedResponse,
+    #[error("the stage has taken too long")]
+    StageOverdue,
+    #[error("the request was answered with {0}")]
+    ErrorResponse(StatusCode),
+}
+
 /// Way in which the gateway ends a connection.
 #[derive(Debug)]
 pub enum ConnectionEnd {
     /// Without a further response, because the client is gone or expects none.
-    WithoutResponse,
+    WithoutResponse(CloseReason),
     /// With a last response that has this status and no body.
     WithStatus(StatusCode),
 }
 
+impl ConnectionEnd {
+    /// Returns the reason why the connection ends.
+    pub fn reason(&self) -> CloseReason {
+        match self {
+            Self::WithoutResponse(reason) => *reason,
+            Self::WithStatus(status) => CloseReason::ErrorResponse(*status),
+        }
+    }
+}
+
 impl From<HeadError> for ConnectionEnd {
     fn from(error: HeadError) -> Self {
         Self::WithStatus(error.status())
--- a/src/node/connection/clients/timeouts.rs
+++ b/src/node/connection/clients/timeouts.rs
@@ -30,9 +30,9 @@
             connection.request_close();
         }
         Stage::Idle if time_in_stage > IDLE_TIMEOUT => connection.request_close(),
-        Stage::WritingResponse if time_in_stage > RESPONSE_TIMEOUT => connection.abort(),
-        Stage::StreamingResponse if time_in_stage > STREAM_STALL_TIMEOUT => connection.abort(),
-        Stage::Closing if time_in_stage > LINGER_TIMEOUT => connection.abort(),
+        Stage::WritingResponse if time_in_stage > RESPONSE_TIMEOUT => connection.abort_overdue(),
+        Stage::StreamingResponse if time_in_stage > STREAM_STALL_TIMEOUT => connection.abort_overdue(),
+        Stage::Closing if time_in_stage > LINGER_TIMEOUT => connection.abort_overdue(),
         _ => {}
     }
 }
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -32,6 +32,7 @@
     net::TcpStream,
     time::{Sleep, sleep, timeout},
 };
+use tracing::debug;
 
 /// Longest time from a response's first byte to the end of its head. Slow endpoints write the head in small parts.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -121,12 +122,18 @@
         let response = pin!(async {
             let response = response.await.map_err(|mut error| match error.take_message() {
                 Some(_) => UnclassifiedFailure::RequestReturned,
-                None => UnclassifiedFailure::Broken,
+                None => {
+                    debug!(reason = %error.error(), "no response head was read");
+                    UnclassifiedFailure::Broken
+                }
             })?;
             has_head.set(true);
             let (parts, body) = response.into_parts();
             let body = read_body(&parts, body, limits, sink).await;
-            let body = body.map_err(|_| UnclassifiedFailure::Broken)?;
+            let body = body.map_err(|error| {
+                debug!(reason = %error, "response body was not read to its end");
+                UnclassifiedFailure::Broken
+            })?;
             Ok(Response::from_parts(parts, body))
         });
         let result = drive(&mut self.driver, &self.progress, &has_head, response).await;
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -166,6 +166,17 @@
     }
 }
 
+/// How far an attempt has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptProgress {
+    /// It waits for a connection, or the request is not written completely.
+    Sending,
+    /// The request is written completely.
+    AwaitingResponse,
+    /// Bytes of the response have arrived.
+    ReceivingResponse,
+}
+
 /// Handle by which others, such as the attempt's timeout, read a request's progress. Empty until the request has a
 /// connection.
 #[derive(Debug, Clone, Default)]
@@ -182,6 +193,17 @@
         self.0.borrow().as_ref().is_some_and(|progress| progress.is_completely_written())
     }
 
+    /// Returns how far the attempt has come.
+    pub fn state(&self) -> AttemptProgress {
+        if self.has_response_started() {
+            AttemptProgress::ReceivingResponse
+        } else if self.may_have_run() {
+            AttemptProgress::AwaitingResponse
+        } else {
+            AttemptProgress::Sending
+        }
+    }
+
     /// Returns whether bytes of the final response have arrived.
     pub fn has_response_started(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(|progress| progress.has_response_started())
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -23,7 +23,7 @@
 use oliverack::{EndpointId, Event, LoadReport, RequestId, Seconds, Status, Time};
 use std::rc::Rc;
 use tokio::{sync::mpsc, task::AbortHandle};
-use tracing::debug;
+use tracing::{Instrument, debug, debug_span};
 
 /// Parameters of an attempt that the policy starts.
 pub struct AttemptSpec {
@@ -118,12 +118,14 @@
         write_progress: WriteProgressHandle,
     ) -> AbortHandle {
         let attempts = self.clone();
-        let task = tokio::task::spawn_local(async move {
+        let span = debug_span!("attempt", request = ?upstream.transaction_id, attempt = number);
+        let run = async move {
             let request = RequestOfAttempt { attempts: &attempts, request_id: &request_id, number };
             let endpoints = &attempts.endpoints;
             let result = endpoints.attempt(&target, &upstream, timeout, &write_progress, &request).await;
             attempts.end(&request_id, number, result);
-        });
+        };
+        let task = tokio::task::spawn_local(run.instrument(span));
         task.abort_handle()
     }
 
@@ -147,6 +149,7 @@
         if outcome == DeliveryOutcome::NotWaiting {
             return None;
         }
+        debug!(request = ?request.upstream().transaction_id, attempt = number, ?length, "response started");
         let attempt = request.attempt_mut(number)?;
         attempt.response_started_at = Some(self.clock.now());
         let timeout_timer = attempt.timeout_timer.take();
@@ -163,7 +166,8 @@
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         let Some(attempt) = request.take_attempt(number) else { return };
         let endpoint = attempt.endpoint;
-        debug!(request = ?request.upstream().transaction_id, attempt = number, %endpoint, reason = ?result.status, "attempt ended");
+        let progress = attempt.write_progress.state();
+        debug!(request = ?request.upstream().transaction_id, attempt = number, %endpoint, reason = ?result.status, ?progress, "attempt ended");
         if let Some(timer) = attempt.timeout_timer {
             self.timers.cancel(timer);
         }
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -211,7 +211,9 @@
             Action::StartAttempt { request_id, endpoint, timeout, dedup_until } => {
                 self.attempts.start(now, AttemptSpec { request_id, endpoint, timeout, dedup_until });
             }
-            Action::Reject { request_id, retry_after } => self.requests.reject(&request_id, retry_after),
+            Action::Reject { request_id, retry_after, reason } => {
+                self.requests.reject(&request_id, retry_after, reason);
+            }
             Action::Fail { request_id } => self.requests.fail(&request_id),
             Action::SetTimer { token, at } => {
                 self.timers.set(at, TimerPurpose::Policy(token));
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -1,12 +1,16 @@
 //! State of one open request and its attempts.
 
 use crate::node::{
-    connection::{body_memory::MemoryPermit, clients::FinalResponse, write_progress::WriteProgressHandle},
+    connection::{
+        body_memory::MemoryPermit,
+        clients::FinalResponse,
+        write_progress::{AttemptProgress, WriteProgressHandle},
+    },
     runtime::timers::TimerKey,
     wire::{client_request::UpstreamRequest, stream::RequestBody},
 };
 use oliverack::{EndpointId, Seconds, Time};
-use std::rc::Rc;
+use std::{fmt::Debug, rc::Rc};
 use tokio::{sync::oneshot, task::AbortHandle};
 use tracing::debug;
 
@@ -30,6 +34,11 @@
 }
 
 impl InFlightAttempt {
+    /// Returns the endpoint and how far the attempt has come, for logs.
+    fn describe(&self) -> (EndpointId, AttemptProgress) {
+        (self.endpoint.clone(), self.write_progress.state())
+    }
+
     /// Returns whether the endpoint certainly has not begun to run the attempt.
     fn is_unsent(&self) -> bool {
         self.response_started_at.is_none() && !self.write_progress.may_have_run()
@@ -155,7 +164,7 @@
     /// Sends the final response to the client, unless the client no longer waits.
     pub fn deliver(&mut self, response: FinalResponse) -> DeliveryOutcome {
         let Some(sender) = self.response.take() else { return DeliveryOutcome::NotWaiting };
-        debug!(request = ?self.upstream.transaction_id, response = response.name(), "final response");
+        debug!(request = ?self.upstream.transaction_id, response = response.name(), reason = ?response.rejection_reason(), "final response");
         match sender.send(response) {
             Ok(()) => DeliveryOutcome::Delivered,
             // The client's connection reports the disconnect itself.
@@ -163,6 +172,18 @@
         }
     }
 
+    /// Logs that the request is failed without a decision of the policy, and how far each attempt has come.
+    pub fn log_failure(&self, reason: impl Debug) {
+        let attempts: Vec<_> = self.attempts.iter().flatten().map(InFlightAttempt::describe).collect();
+        debug!(
+            request = ?self.upstream.transaction_id,
+            is_received = self.is_received(),
+            ?attempts,
+            ?reason,
+            "request failed"
+        );
+    }
+
     /// Returns the timeout of an attempt sent at `now`: `timeout`, but not more than the time that the client still
     /// waits. A `timeout` of 0 means that the attempt has no timeout of its own.
     pub fn attempt_timeout(&self, now: Time, timeout: Seconds) -> Seconds {
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -15,7 +15,7 @@
     },
     wire::{client_request::ClientRequest, stream::RequestBody},
 };
-use oliverack::{Event, Request, RequestId, Seconds};
+use oliverack::{Event, RejectionReason, Request, RequestId, Seconds};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tracing::debug;
@@ -24,6 +24,15 @@
 /// timeouts of the attempts, which are cut to the deadline, come first.
 const DEADLINE_GRACE: Seconds = 0.004;
 
+/// Reason why a request is failed without a decision of the policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailureReason {
+    /// The client no longer waits.
+    DeadlinePassed,
+    /// The process is about to end.
+    Shutdown,
+}
+
 /// Handles the open requests, from their acceptance to their final response.
 pub struct Requests {
     policy: Rc<PolicyLoop>,
@@ -51,8 +60,8 @@
     }
 
     /// Rejects a request, unless its client no longer waits.
-    pub fn reject(&self, request_id: &RequestId, retry_after: Seconds) {
-        self.respond(request_id, FinalResponse::Rejected { retry_after });
+    pub fn reject(&self, request_id: &RequestId, retry_after: Seconds, reason: RejectionReason) {
+        self.respond(request_id, FinalResponse::Rejected { retry_after, reason });
     }
 
     /// Fails a request, unless its client no longer waits.
@@ -63,19 +72,22 @@
     /// Fails every open request, as the process is about to be killed.
     pub fn fail_all(&self) {
         for request_id in self.table.ids() {
-            self.fail_and_notify_policy(request_id);
+            self.fail_and_notify_policy(request_id, FailureReason::Shutdown);
         }
     }
 
     /// Fails a request that still has no final response after its deadline.
     pub fn fail_at_deadline(&self, request_id: RequestId) {
         if self.table.is_some_and(&request_id, OpenRequest::is_waiting) {
-            self.fail_and_notify_policy(request_id);
+            self.fail_and_notify_policy(request_id, FailureReason::DeadlinePassed);
         }
     }
 
     /// Fails a request without an action of the policy, and notifies the policy that the client no longer waits.
-    fn fail_and_notify_policy(&self, request_id: RequestId) {
+    fn fail_and_notify_policy(&self, request_id: RequestId, reason: FailureReason) {
+        if let Some(request) = self.table.get_mut(&request_id).filter(|request| request.is_waiting()) {
+            request.log_failure(reason);
+        }
         self.fail(&request_id);
         self.policy.post(Event::ClientDisconnected { request_id });
     }
@@ -142,6 +154,9 @@
     fn client_disconnected(&self, request_id: &RequestId) {
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         let was_waiting = request.mark_disconnected();
+        if was_waiting {
+            debug!(request = ?request.upstream().transaction_id, "client disconnected before the final response");
+        }
         drop(request);
         if was_waiting {
             self.attempts.release(request_id);
--- a/src/policy/admission/control.rs
+++ b/src/policy/admission/control.rs
@@ -1,7 +1,7 @@
 //! Decides whether to admit a request by applying its customer's limits in order.
 
 use crate::{
-    interface::{Request, RequestId, Time},
+    interface::{RejectionReason, Request, RequestId, Time},
     policy::{
         admission::{
             Admission, Candidate, concurrency::MAX_SLOT_WAIT_SHARE, customer_table::CustomerTable,
@@ -55,14 +55,14 @@
 
     /// Decides about a request that has just arrived.
     pub fn admit(&mut self, request: &Request, backends: &Backends, context: &mut Context) -> Admission {
-        let overload_rejection = Admission::Reject { retry_after: context.settings.max_retry_after };
+        let retry_after = context.settings.max_retry_after;
         if !self.customers.make_room(&request.customer, context) {
-            return overload_rejection;
+            return Admission::reject(RejectionReason::TooManyCustomers, retry_after);
         }
         let plan = context.plan(request.plan);
         self.customers.record_arrival(request, &plan, context);
         if !backends.has_capacity(1.0, context) {
-            return overload_rejection;
+            return Admission::reject(RejectionReason::NoCapacity, retry_after);
         }
         let mut candidate = Candidate { request, plan, backends, context };
         if plan.rate <= 0.0 {
@@ -160,7 +160,7 @@
         let customer = self.customers.expect_mut(&request.customer);
         if !is_admitted {
             let missing = customer.quota.missing_units(context.now, &plan, request.units);
-            return Admission::Reject { retry_after: missing / plan.rate };
+            return Admission::reject(RejectionReason::OverQuota, missing / plan.rate);
         }
         customer.even_share.saturating_take(request.units);
         customer.ceiling.spend(request.units);
@@ -178,7 +178,7 @@
         let mean_latency = candidate.backends.mean_latency();
         let customer = self.customers.expect_mut(&request.customer);
         if customer.exceeds_scarce_limit(plan, mean_latency, &mut context.rng) {
-            return Admission::Reject { retry_after: mean_latency };
+            return Admission::reject(RejectionReason::ConcurrencyLimit, mean_latency);
         }
         // Checks again, as other requests may have spent the share while this one waited.
         if !self.customers.ceiling_covers(request, units, plan, context) {
@@ -226,7 +226,7 @@
         let wait = customer.concurrency.expected_wait(slots, backends.mean_latency());
         if wait > max_wait {
             customer.refund(units);
-            return Admission::Reject { retry_after: wait };
+            return Admission::reject(RejectionReason::ConcurrencyLimit, wait);
         }
         customer.concurrency.enqueue(request.id.clone(), units);
         context.set_timer(context.now + max_wait, TimerPurpose::EndSlotWait(request.id.clone()));
@@ -239,7 +239,8 @@
         let Candidate { request, plan, .. } = *candidate;
         let gateway_count = self.customers.expect_mut(&request.customer).gateway_count;
         let holder_count = candidate.context.replicas.holder_count(gateway_count);
-        Admission::Reject { retry_after: request.units * holder_count / plan.ceiling_rate }
+        let retry_after = request.units * holder_count / plan.ceiling_rate;
+        Admission::reject(RejectionReason::AboveCeiling, retry_after)
     }
 
     /// Handles the end of a counter call. Returns the requests that waited for it.
--- a/src/policy/admission/mod.rs
+++ b/src/policy/admission/mod.rs
@@ -18,7 +18,7 @@
 pub use control::AdmissionControl;
 
 use crate::{
-    interface::{Request, Seconds},
+    interface::{RejectionReason, Request, Seconds},
     policy::{backends::Backends, context::Context},
     settings::Plan,
 };
@@ -38,10 +38,30 @@
     /// Let the request wait for one of its customer's concurrency slots; its units are spent.
     AwaitSlot,
     /// Reject the request.
-    Reject {
-        /// Time that the client should wait before a retry; 0 gives no advice.
-        retry_after: Seconds,
-    },
+    Reject(Rejection),
+}
+
+impl Admission {
+    /// Returns a rejection. A `retry_after` of 0 gives no advice.
+    pub fn reject(reason: RejectionReason, retry_after: Seconds) -> Self {
+        Self::Reject(Rejection::new(reason, retry_after))
+    }
+}
+
+/// Why a request is rejected, and when its client may try again.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rejection {
+    /// Reason, for logs only.
+    pub reason: RejectionReason,
+    /// Time that the client should wait before a retry; 0 gives no advice.
+    pub retry_after: Seconds,
+}
+
+impl Rejection {
+    /// Creates a rejection.
+    pub fn new(reason: RejectionReason, retry_after: Seconds) -> Self {
+        Self { reason, retry_after }
+    }
 }
 
 /// Request to decide about, with the other inputs of the decision besides the customer's state.
--- a/src/policy/requests/lifecycle.rs
+++ b/src/policy/requests/lifecycle.rs
@@ -1,9 +1,9 @@
 //! The life of each open request: admission, attempts, retries, hedged requests and the final response.
 
 use crate::{
-    interface::{Action, CustomerId, Request, RequestId, Seconds, Status},
+    interface::{Action, CustomerId, RejectionReason, Request, RequestId, Status},
     policy::{
-        admission::{Admission, AdmissionControl, is_servable},
+        admission::{Admission, AdmissionControl, Rejection, is_servable},
         backends::Backends,
         context::Context,
         counter::CounterReply,
@@ -53,9 +53,9 @@
         let id = request.id.clone();
         let state = self.requests.entry(id.clone()).or_insert(RequestState::new(request, context.now));
         let admission = if !is_servable(&state.request, context) {
-            Admission::Reject { retry_after: 0.0 }
+            Admission::reject(RejectionReason::NotServable, 0.0)
         } else if is_full {
-            Admission::Reject { retry_after: context.settings.max_retry_after }
+            Admission::reject(RejectionReason::TooManyOpenRequests, context.settings.max_retry_after)
         } else {
             self.admission.admit(&state.request, backends, context)
         };
@@ -71,7 +71,7 @@
     ) {
         match admission {
             Admission::Admit => self.start_first_attempt(id, backends, context),
-            Admission::Reject { retry_after } => self.respond(id, retry_after, context),
+            Admission::Reject(rejection) => self.respond(id, rejection, context),
             Admission::AwaitLease | Admission::AwaitSlot => {}
         }
     }
@@ -114,7 +114,8 @@
     fn start_first_attempt(&mut self, id: &RequestId, backends: &mut Backends, context: &mut Context) {
         self.retry_budget.record_request();
         if !self.start_attempt(id, backends, context) {
-            self.respond(id, context.settings.max_retry_after, context);
+            let rejection = Rejection::new(RejectionReason::NoEndpoint, context.settings.max_retry_after);
+            self.respond(id, rejection, context);
         }
     }
 
@@ -189,7 +190,8 @@
         if may_retry && self.start_attempt(&end.request_id, backends, context) {
             return self.retry_budget.record_retry(RetryReason::after(end.status));
         }
-        self.respond(&end.request_id, backends.mean_latency(), context);
+        let rejection = Rejection::new(RejectionReason::AttemptsEnded, backends.mean_latency());
+        self.respond(&end.request_id, rejection, context);
     }
 
     /// Sends a hedged request if exactly one attempt is in flight and its response has not started.
@@ -223,15 +225,16 @@
     pub fn end_slot_wait(&mut self, id: &RequestId, backends: &Backends, context: &mut Context) {
         let Some(state) = self.requests.get(id) else { return };
         if self.admission.customers().end_slot_wait(&state.request) {
-            self.respond(id, backends.mean_latency(), context);
+            let rejection = Rejection::new(RejectionReason::ConcurrencyLimit, backends.mean_latency());
+            self.respond(id, rejection, context);
         }
     }
 
     /// Sends the final response: a rejection if the client may retry safely, else a failure. Does nothing if
     /// the response was sent before.
-    fn respond(&mut self, id: &RequestId, retry_after: Seconds, context: &mut Context) {
+    fn respond(&mut self, id: &RequestId, rejection: Rejection, context: &mut Context) {
         let Some(state) = self.requests.get(id).filter(|state| !state.is_finished()) else { return };
-        let response = state.final_response(retry_after, &context.settings);
+        let response = state.final_response(rejection, &context.settings);
         context.push_action(response);
         self.finish(id);
     }
--- a/src/policy/requests/request_state.rs
+++ b/src/policy/requests/request_state.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     interface::{Action, EndpointId, Request, Seconds, Time},
-    policy::context::Context,
+    policy::{admission::Rejection, context::Context},
     settings::{Class, Effect, IdempotencyScope, Settings},
 };
 
@@ -196,13 +196,14 @@
     }
 
     /// Returns the final response: a rejection if the client may retry safely, else a failure.
-    pub fn final_response(&self, retry_after: Seconds, settings: &Settings) -> Action {
+    pub fn final_response(&self, rejection: Rejection, settings: &Settings) -> Action {
         let request_id = self.request.id.clone();
         if !self.is_safe_to_retry(settings) {
             return Action::Fail { request_id };
         }
         let max_retry_after = if settings.retry_after_enabled { settings.max_retry_after } else { 0.0 };
-        Action::Reject { request_id, retry_after: retry_after.max(0.0).min(max_retry_after) }
+        let retry_after = rejection.retry_after.max(0.0).min(max_retry_after);
+        Action::Reject { request_id, retry_after, reason: rejection.reason }
     }
 
     fn is_safe_to_retry(&self, settings: &Settings) -> bool {
--- a/tests/recorded.rs
+++ b/tests/recorded.rs
@@ -59,7 +59,7 @@
                 self.number(*timeout);
                 self.optional(*dedup_until);
             }
-            Action::Reject { request_id, retry_after } => {
+            Action::Reject { request_id, retry_after, .. } => {
                 self.tag(2);
                 self.text(request_id);
                 self.number(*retry_after);
