--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -11,6 +11,7 @@
 mod node;
 mod node_builder;
 mod ports;
+mod raw_endpoint;
 mod temp_dir;
 
 pub use client::{Client, TestRequest};
@@ -21,6 +22,7 @@
 pub use node::{LaunchOptions, Node, spawn_program};
 pub use node_builder::NodeBuilder;
 pub use ports::{ReservedPort, SaturatedListener, count_pending_sockets, wait_for_pending_connections};
+pub use raw_endpoint::{RawEndpoint, read_at_rate, read_past_head};
 pub use temp_dir::TempDir;
 
 use std::time::Duration;
--- a/tests/fakes/node_builder.rs
+++ b/tests/fakes/node_builder.rs
@@ -19,10 +19,15 @@
 impl NodeBuilder {
     /// Returns a builder that lists `endpoints` as `w0`, `w1` and so on, and a discovery service with the same list.
     pub fn new(endpoints: &[&FakeEndpoint]) -> (Self, FakeDiscovery) {
-        let entry = |(i, endpoint): (usize, &&FakeEndpoint)| {
-            endpoint_entry(&format!("w{i}"), endpoint.addr, "SERVING")
-        };
-        let known_endpoints: Vec<Value> = endpoints.iter().enumerate().map(entry).collect();
+        let addresses: Vec<SocketAddr> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
+        Self::with_addresses(&addresses)
+    }
+
+    /// Like [`new`](Self::new), with the addresses of the endpoints.
+    pub fn with_addresses(addresses: &[SocketAddr]) -> (Self, FakeDiscovery) {
+        let entry =
+            |(i, address): (usize, &SocketAddr)| endpoint_entry(&format!("w{i}"), *address, "SERVING");
+        let known_endpoints: Vec<Value> = addresses.iter().enumerate().map(entry).collect();
         let discovery = FakeDiscovery::start(&known_endpoints);
         let builder = Self {
             settings: default_settings(),
