Open a response stream only once its first data has arrived

Cause: read_body opened the stream as soon as the head showed a long or chunked body. The request then counted as answered, which cancelled the attempt's timeout and the deadline; only the 5 s limit on a silent stream was left.

Now the stream is opened with its first data, so that until then the attempt's timeout and the deadline hold and another response may still be sent.

--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -85,7 +85,7 @@
 }
 
 /// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed. A stream starts only when
-/// memory is free for it; meanwhile the rest of the body waits at the endpoint, and the caller limits the wait.
+/// memory is free for it and its first data has arrived; the caller limits the wait for either.
 ///
 /// # Errors
 /// The body was cut off or stalled, or no stream was opened for it, or the stream's receiver was dropped.
@@ -111,11 +111,30 @@
     }
     let buffered = buffer.into_body();
     let memory = stream_memory(sink, buffered.memory).await.ok_or(ResponseBodyError::NotStreamed)?;
+    let mut beginning = [buffered.bytes, excess];
+    // Until the first data has arrived another response may still take the place of this one, so the stream is not opened
+    // and the caller's time limits hold.
+    if beginning.iter().all(Bytes::is_empty) {
+        let Some(data) = next_data(&mut body).await? else { return Ok(BufferedBody::default()) };
+        beginning = [data, Bytes::new()];
+    }
     let sender = sink.open_stream(length, memory).ok_or(ResponseBodyError::NotStreamed)?;
-    stream_body(&mut body, [buffered.bytes, excess], &sender).await?;
+    stream_body(&mut body, beginning, &sender).await?;
     Ok(BufferedBody::default())
 }
 
+/// Waits for the next data of a body. Returns `None` at the end of the body.
+async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    while let Some(frame) = body.frame().await {
+        // A frame without data holds trailers, which are ignored.
+        let data = frame?.into_data().unwrap_or_default();
+        if !data.is_empty() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
 /// Returns whether the end of a body without a length can be told from a failure. A close of the connection marks the
 /// end only in HTTP/1.0 or if the head announces it.
 fn is_end_detectable(parts: &Parts) -> bool {
@@ -221,14 +240,12 @@
     }
     loop {
         let slot = reserve_slot(sender).await?;
-        let frame = timeout(STREAM_STALL_TIMEOUT, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| ResponseBodyError::Stalled(STREAM_STALL_TIMEOUT))? else {
+        let data = timeout(STREAM_STALL_TIMEOUT, next_data(body)).await;
+        let Some(data) = data.map_err(|_| ResponseBodyError::Stalled(STREAM_STALL_TIMEOUT))?? else {
             slot.send(BodyFrame::End);
             return Ok(());
         };
-        if let Ok(data) = frame?.into_data() {
-            slot.send(BodyFrame::Data(data));
-        }
+        slot.send(BodyFrame::Data(data));
     }
 }
 
