Count a client's wait from when its last byte can have been written

Cause: the deadline and the attempts' timeouts of a streamed body began only when the gateway had read its last byte (request_body_received), and it reads only as fast as the endpoint takes the body. A client that has written everything into the systems' buffers waits meanwhile. Evidence: bodies over 512 KiB only, and in the reproduction 'request body received' in the log seconds after the client's last byte.

BodyArrival now bounds the time of the last byte: while the gateway waits for more bytes, the client has not written it; while bytes may wait unread, it may have been written when the gateway last waited, or when at most as many bytes were missing as the systems' buffers hold (5 MiB; the receive buffer is set to 256 KiB for this). The timers of the deadline and of the attempts are set from the start and follow this bound. An attempt that ends so was not written whole, and the request is rejected safely.

--- a/src/node/connection/clients/body_upload.rs
+++ b/src/node/connection/clients/body_upload.rs
@@ -7,18 +7,21 @@
         state::{CloseReason, ConnectionEnd, Stage},
     },
     wire::{
+        body_arrival::BodyArrival,
         request_body::BodyDecoder,
         stream::{BodyFrame, MAX_FRAME_BYTES},
     },
 };
 use bytes::BytesMut;
-use std::time::Instant;
+use std::{rc::Rc, time::Instant};
 use tokio::sync::{mpsc, oneshot};
 
 /// A request body that is being streamed.
 pub struct BodyUpload {
     /// Sender of the frames to the attempt.
     pub sender: mpsc::Sender<BodyFrame>,
+    /// Arrival of the body, which the time limits of the request follow.
+    pub arrival: Rc<BodyArrival>,
     /// Bytes that were decoded but not sent to the attempt yet.
     pub pending: BytesMut,
     /// Decoder for the rest of the body.
@@ -59,10 +62,7 @@
         if expects_continue && socket.buffer.is_empty() && self.pending.is_empty() {
             if let Ok(response) = response_receiver.try_recv() {
                 // A client may send the body without having been asked for it.
-                return Ok(UploadOutcome::ResponseArrived {
-                    response,
-                    unread_body_decoder: Some(self.decoder),
-                });
+                return Ok(self.end_incomplete(response));
             }
             socket.send_continue().await;
         }
@@ -77,15 +77,12 @@
                     SendOutcome::AttemptEnded if is_complete => {}
                     SendOutcome::AttemptEnded => {
                         let response = response_receiver.await.unwrap_or(FinalResponse::Failed);
-                        return Ok(UploadOutcome::ResponseArrived {
-                            response,
-                            unread_body_decoder: Some(self.decoder),
-                        });
+                        return Ok(self.end_incomplete(response));
                     }
-                    SendOutcome::ResponseArrived(response) => {
-                        let unread_body_decoder = (!is_complete).then_some(self.decoder);
-                        return Ok(UploadOutcome::ResponseArrived { response, unread_body_decoder });
+                    SendOutcome::ResponseArrived(response) if is_complete => {
+                        return Ok(UploadOutcome::ResponseArrived { response, unread_body_decoder: None });
                     }
+                    SendOutcome::ResponseArrived(response) => return Ok(self.end_incomplete(response)),
                 }
             }
             if is_complete {
@@ -95,21 +92,34 @@
             if has_read_ahead || is_full_frame && !socket.buffer.is_empty() {
                 continue;
             }
-            socket.state.set_stage(Stage::ReceivingBody);
-            tokio::select! {
-                biased;
-                response = &mut *response_receiver => {
-                    let response = response.unwrap_or(FinalResponse::Failed);
-                    return Ok(UploadOutcome::ResponseArrived {
-                        response,
-                        unread_body_decoder: Some(self.decoder),
-                    });
-                }
-                read = socket.read(MAX_FRAME_BYTES) => read?,
+            if let Some(response) = self.read_more(socket, response_receiver).await? {
+                return Ok(self.end_incomplete(response));
             }
         }
     }
 
+    /// Reads more of the body. Returns the final response if that arrives first.
+    async fn read_more(
+        &self,
+        socket: &mut ClientSocket<'_>,
+        response_receiver: &mut oneshot::Receiver<FinalResponse>,
+    ) -> Result<Option<FinalResponse>, ConnectionEnd> {
+        socket.state.set_stage(Stage::ReceivingBody);
+        self.arrival.await_client();
+        tokio::select! {
+            biased;
+            response = response_receiver => return Ok(Some(response.unwrap_or(FinalResponse::Failed))),
+            read = socket.read(MAX_FRAME_BYTES) => read?,
+        }
+        self.arrival.end_wait(socket.last_awaited_at);
+        Ok(None)
+    }
+
+    /// Ends the upload with a response that arrived before the body was read whole.
+    fn end_incomplete(self, response: FinalResponse) -> UploadOutcome {
+        UploadOutcome::ResponseArrived { response, unread_body_decoder: Some(self.decoder) }
+    }
+
     /// Takes the frames that are ready to be sent: the pending bytes, and the end of the body if it is complete.
     fn take_ready_frames(&mut self, is_complete: bool) -> impl Iterator<Item = BodyFrame> + use<> {
         let data_frame = (!self.pending.is_empty()).then(|| BodyFrame::Data(self.pending.split().freeze()));
@@ -126,6 +136,7 @@
     ) -> Result<SendOutcome, ConnectionEnd> {
         socket.state.enter(Stage::Processing);
         let started_at = Instant::now();
+        let frame_bytes = frame.data_length();
         // The first two branches end the upload, so the frame that the third branch drops is not needed.
         let sent = tokio::select! {
             biased;
@@ -138,6 +149,7 @@
             sent = self.sender.send(frame) => sent,
         };
         socket.state.exclude_gateway_wait(started_at);
+        self.arrival.record_forwarded(frame_bytes, Instant::now());
         Ok(if sent.is_ok() { SendOutcome::Sent } else { SendOutcome::AttemptEnded })
     }
 }
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -13,12 +13,13 @@
         },
     },
     wire::{
-        client_request::ClientRequest, client_response::ClientResponse, request_body::BodyDecoder,
-        stream::RequestBody,
+        body_arrival::BodyArrival, client_request::ClientRequest, client_response::ClientResponse,
+        request_body::BodyDecoder, stream::RequestBody,
     },
 };
 use bytes::BytesMut;
 use oliverack::RequestId;
+use std::rc::Rc;
 use tokio::sync::oneshot;
 use tracing::debug;
 
@@ -57,8 +58,9 @@
         request.upstream.body = match body.content {
             ReceivedContent::Complete(bytes) => RequestBody::Buffered(bytes),
             ReceivedContent::Partial { received, decoder, length } => {
-                let (sender, body) = RequestBody::streamed(length);
-                upload = Some(BodyUpload { sender, pending: received, decoder });
+                let arrival = Rc::new(BodyArrival::new(self.socket.last_awaited_at));
+                let (sender, body) = RequestBody::streamed(length, arrival.clone());
+                upload = Some(BodyUpload { sender, arrival, pending: received, decoder });
                 body
             }
         };
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -9,11 +9,12 @@
         },
         socket_input::has_input,
     },
-    wire::stream::MAX_FRAME_BYTES,
+    wire::{body_arrival::RECEIVE_BUFFER_BYTES, stream::MAX_FRAME_BYTES},
 };
 use bytes::BytesMut;
 use hyper::StatusCode;
-use std::io;
+use socket2::SockRef;
+use std::{io, time::Instant};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::TcpStream,
@@ -39,6 +40,8 @@
     pub buffer: BytesMut,
     /// Memory reserved for the bytes in the buffer: of a long head, or read while the gateway works on a request.
     buffer_memory: MemoryPermit,
+    /// Time at which bytes of a request last arrived after the gateway had read all bytes before them.
+    pub last_awaited_at: Instant,
 }
 
 /// Meaning of a wake-up by [`ConnectionState::close_signal`].
@@ -55,7 +58,10 @@
     /// Wraps a newly accepted socket.
     pub fn new(context: &'c ConnectionContext, tcp: TcpStream, state: &'c ConnectionState) -> Self {
         let buffer_memory = context.memory.empty_permit();
-        Self { context, tcp, state, buffer: BytesMut::new(), buffer_memory }
+        // A failure leaves the system's default, of which little is used before the gateway reads.
+        let _ = SockRef::from(&tcp).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        let last_awaited_at = Instant::now();
+        Self { context, tcp, state, buffer: BytesMut::new(), buffer_memory, last_awaited_at }
     }
 
     /// Frees the buffer if it is empty, so that idle connections hold no memory.
@@ -85,6 +91,7 @@
     /// # Errors
     /// Returns an error if the client has disconnected, or a close was requested and no input is pending.
     pub async fn read(&mut self, max_bytes: usize) -> Result<(), ConnectionEnd> {
+        let mut has_waited = false;
         loop {
             tokio::select! {
                 ready = self.tcp.readable() => ready.map_err(|_| CLIENT_DISCONNECTED)?,
@@ -99,9 +106,12 @@
                 Ok(0) => return Err(CLIENT_DISCONNECTED),
                 Ok(count) => {
                     self.state.record_read(count);
+                    if has_waited {
+                        self.last_awaited_at = Instant::now();
+                    }
                     return Ok(());
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => has_waited = true,
                 Err(_) => return Err(CLIENT_DISCONNECTED),
             }
         }
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -25,6 +25,10 @@
 use tokio::{sync::mpsc, task::AbortHandle};
 use tracing::{Instrument, debug, debug_span};
 
+/// Shortest time until the timer of a timeout that has moved fires again, so that short timeouts don't keep the process
+/// busy.
+const MIN_REARM_DELAY: Seconds = 0.004;
+
 /// Parameters of an attempt that the policy starts.
 pub struct AttemptSpec {
     /// Request that the attempt is for.
@@ -63,6 +67,7 @@
     pub fn start(self: &Rc<Self>, now: Time, spec: AttemptSpec) {
         let target = self.endpoints.target(&spec.endpoint);
         let Some(mut request) = self.table.get_mut(&spec.request_id) else { return };
+        request.update_wait_start(&self.clock);
         let timeout = request.attempt_timeout(now, spec.timeout);
         let is_finished = !request.is_waiting();
         if let Some(target) = target.filter(|_| !is_finished && timeout > 0.0) {
@@ -94,17 +99,16 @@
         debug!(request = ?upstream.transaction_id, attempt = number, endpoint = %endpoint, timeout, "attempt started");
         let write_progress = WriteProgressHandle::default();
         let task = self.spawn(request_id.clone(), number, target, upstream, timeout, write_progress.clone());
-        let timeout_timer = request
-            .is_received()
-            .then(|| self.timers.set(now + timeout, TimerPurpose::Attempt(request_id, number)));
+        let timeout_timer = self.timers.set(now + timeout, TimerPurpose::Attempt(request_id, number));
         request.add_attempt(InFlightAttempt {
             endpoint,
+            started_at: now,
             sent_at: now,
             timeout,
             response_started_at: None,
             write_progress,
             task,
-            timeout_timer,
+            timeout_timer: Some(timeout_timer),
         });
     }
 
@@ -191,6 +195,25 @@
         });
     }
 
+    /// Cancels an attempt whose timeout has passed. Sets the timer again if the timeout has moved, because the client was
+    /// still sending the body.
+    pub fn time_out(&self, request_id: &RequestId, number: u32) {
+        let Some(mut request) = self.table.get_mut(request_id) else { return };
+        request.update_wait_start(&self.clock);
+        let now = self.clock.now();
+        let Some(due) = request.attempt_due_at(number, now) else { return };
+        if due > now {
+            let due = due.max(now + MIN_REARM_DELAY);
+            let timer = self.timers.set(due, TimerPurpose::Attempt(request_id.clone(), number));
+            if let Some(attempt) = request.attempt_mut(number) {
+                attempt.timeout_timer = Some(timer);
+            }
+            return;
+        }
+        drop(request);
+        self.cancel(request_id, number, Status::Timeout);
+    }
+
     /// Cancels an attempt and reports its end with `status`, or with [`Status::NotSent`] if the endpoint can't have
     /// run it because it was not written completely.
     pub fn cancel(&self, request_id: &RequestId, number: u32, status: Status) {
--- a/src/node/runtime/clock.rs
+++ b/src/node/runtime/clock.rs
@@ -27,6 +27,11 @@
         self.unix_time_at_start + self.start.elapsed().as_secs_f64()
     }
 
+    /// Converts a time of the monotonic clock to Unix time.
+    pub fn time(&self, instant: Instant) -> Time {
+        self.unix_time_at_start + instant.saturating_duration_since(self.start).as_secs_f64()
+    }
+
     /// Converts a Unix time to the monotonic clock. A time before the start of the clock becomes the start.
     pub fn instant(&self, time: Time) -> Instant {
         let seconds_ahead = (time - self.unix_time_at_start).clamp(0.0, MAX_SECONDS_AHEAD);
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -24,8 +24,7 @@
     wire::endpoint_list::ListedEndpoint,
 };
 use oliverack::{
-    Action, EndpointCounts, EndpointId, Event, Gateway, HandoverSnapshot, ListKind, SettingsError, Status,
-    Time,
+    Action, EndpointCounts, EndpointId, Event, Gateway, HandoverSnapshot, ListKind, SettingsError, Time,
 };
 use std::{
     rc::{Rc, Weak},
@@ -173,7 +172,7 @@
         match purpose {
             TimerPurpose::Policy(token) => self.policy.post(Event::Timer { token }),
             TimerPurpose::Attempt(request_id, number) => {
-                self.attempts.cancel(&request_id, number, Status::Timeout);
+                self.attempts.time_out(&request_id, number);
             }
             TimerPurpose::CounterCall(client, call_id) => client.expire(&self.policy.sender(), call_id),
             TimerPurpose::DedupEnd(request_id) => self.attempts.release(&request_id),
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -6,7 +6,7 @@
         clients::FinalResponse,
         write_progress::{AttemptProgress, WriteProgressHandle},
     },
-    runtime::timers::TimerKey,
+    runtime::{clock::Clock, timers::TimerKey},
     wire::{client_request::UpstreamRequest, stream::RequestBody},
 };
 use oliverack::{EndpointId, Seconds, Time};
@@ -18,9 +18,11 @@
 pub struct InFlightAttempt {
     /// Endpoint that the attempt is sent to.
     pub endpoint: EndpointId,
-    /// Time at which the attempt was sent or, if that is later, at which the request's body was received completely.
+    /// Time at which the attempt was started.
+    pub started_at: Time,
+    /// Time at which the attempt was started or, if that is later, at which the request's body was received completely.
     pub sent_at: Time,
-    /// Maximum time from `sent_at` until the response.
+    /// Maximum time until the response, from `started_at` or, if that is later, from the start of the client's wait.
     pub timeout: Seconds,
     /// Time at which a streamed response started; `None` before that and for responses that are not streamed.
     pub response_started_at: Option<Time>,
@@ -28,8 +30,7 @@
     pub write_progress: WriteProgressHandle,
     /// Task that carries out the attempt. Aborting the task closes the attempt's connection.
     pub task: AbortHandle,
-    /// Timer of the timeout; `None` before the request is received completely, and once a streamed response has
-    /// started.
+    /// Timer of the timeout; `None` once a streamed response has started.
     pub timeout_timer: Option<TimerKey>,
 }
 
@@ -64,9 +65,11 @@
     upstream: Rc<UpstreamRequest>,
     /// Time that the client waits for the response, from the request's last byte on.
     time_limit: Seconds,
-    /// Time at which the client gives up; `None` while the body is still arriving.
-    deadline: Option<Time>,
-    /// Timer that fires shortly after the deadline; set together with it.
+    /// Earliest time at which the client can have sent the request's last byte; `None` while it has not.
+    wait_started_at: Option<Time>,
+    /// True once the request was received completely.
+    is_received: bool,
+    /// Timer that fires shortly after the deadline, or earlier while the body is still arriving.
     deadline_timer: Option<TimerKey>,
     /// Time from which endpoints may forget the idempotency key, so that no attempt may be written any more. Infinite
     /// without such a limit.
@@ -88,7 +91,8 @@
             response: Some(response),
             upstream,
             time_limit,
-            deadline: None,
+            wait_started_at: None,
+            is_received: false,
             deadline_timer: None,
             dedup_until: f64::INFINITY,
             body_memory: None,
@@ -109,7 +113,7 @@
     /// Takes the memory that is reserved for a streamed body. Returns `None` if the body is buffered, as the request
     /// still holds it.
     pub fn take_upload_memory(&mut self) -> Option<MemoryPermit> {
-        let is_streamed = matches!(self.upstream.body, RequestBody::Streamed(_));
+        let is_streamed = matches!(self.upstream.body, RequestBody::Streamed { .. });
         if is_streamed { self.body_memory.take() } else { None }
     }
 
@@ -125,7 +129,7 @@
 
     /// Returns whether the request was received completely.
     pub fn is_received(&self) -> bool {
-        self.deadline.is_some()
+        self.is_received
     }
 
     /// Returns whether an attempt may still be written: the client waits, and endpoints still recognize a retry by its
@@ -139,11 +143,31 @@
         self.dedup_until = until;
     }
 
-    /// Records that the request was received completely at `now`, and returns the deadline that follows from this.
+    /// Records that the request was received completely by `now`, and returns the deadline that follows from this.
     pub fn mark_received(&mut self, now: Time) -> Time {
-        let deadline = now + self.time_limit;
-        self.deadline = Some(deadline);
-        deadline
+        self.is_received = true;
+        let wait_started_at = *self.wait_started_at.get_or_insert(now);
+        wait_started_at + self.time_limit
+    }
+
+    /// Follows the arrival of a streamed body until it is received completely.
+    pub fn update_wait_start(&mut self, clock: &Clock) {
+        if let Some(arrival) = self.upstream.body.arrival().filter(|_| !self.is_received) {
+            self.wait_started_at = arrival.earliest_end().map(|instant| clock.time(instant));
+        }
+    }
+
+    /// Returns the time at which the client gives up, if it sends the request's last byte at `now` or has done so.
+    pub fn deadline(&self, now: Time) -> Time {
+        self.wait_started_at.unwrap_or(now) + self.time_limit
+    }
+
+    /// Returns the time at which an attempt times out, if the client sends the request's last byte at `now` or has done
+    /// so. `None` if the attempt has ended or its response has started.
+    pub fn attempt_due_at(&self, number: u32, now: Time) -> Option<Time> {
+        let attempt = self.attempts.get(number as usize)?.as_ref()?;
+        attempt.timeout_timer?;
+        Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
     }
 
     /// Sets the timer of the deadline.
@@ -151,7 +175,7 @@
         self.deadline_timer = Some(timer);
     }
 
-    /// Returns the timer of the deadline; `None` until the request is received completely.
+    /// Returns the timer of the deadline.
     pub fn deadline_timer(&self) -> Option<TimerKey> {
         self.deadline_timer
     }
@@ -187,7 +211,7 @@
     /// Returns the timeout of an attempt sent at `now`: `timeout`, but not more than the time that the client still
     /// waits. A `timeout` of 0 means that the attempt has no timeout of its own.
     pub fn attempt_timeout(&self, now: Time, timeout: Seconds) -> Seconds {
-        let remaining = self.deadline.map_or(self.time_limit, |deadline| deadline - now);
+        let remaining = self.deadline(now) - now;
         if timeout == 0.0 { remaining } else { timeout.min(remaining) }
     }
 
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -76,11 +76,21 @@
         }
     }
 
-    /// Fails a request that still has no final response after its deadline.
+    /// Fails a request that still has no final response after its deadline. Sets the timer again if the deadline has
+    /// moved, because the client was still sending the body.
     pub fn fail_at_deadline(&self, request_id: RequestId) {
-        if self.table.is_some_and(&request_id, OpenRequest::is_waiting) {
-            self.fail_and_notify_policy(request_id, FailureReason::DeadlinePassed);
+        let Some(mut request) = self.table.get_mut(&request_id).filter(|request| request.is_waiting()) else {
+            return;
+        };
+        request.update_wait_start(&self.clock);
+        let now = self.clock.now();
+        let due = request.deadline(now) + DEADLINE_GRACE;
+        if due > now {
+            request.set_deadline_timer(self.timers.set(due, TimerPurpose::Deadline(request_id)));
+            return;
         }
+        drop(request);
+        self.fail_and_notify_policy(request_id, FailureReason::DeadlinePassed);
     }
 
     /// Fails a request without an action of the policy, and notifies the policy that the client no longer waits.
@@ -115,6 +125,8 @@
         let upstream = Rc::new(request.upstream);
         let mut open_request = OpenRequest::new(response, upstream.clone(), request.remaining_seconds);
         open_request.hold_body_memory(body_memory);
+        let purpose = TimerPurpose::Deadline(request_id.clone());
+        open_request.set_deadline_timer(self.timers.set(deadline + DEADLINE_GRACE, purpose));
         self.table.insert(request_id.clone(), open_request);
         if matches!(upstream.body, RequestBody::Buffered(_)) {
             self.request_body_received(&request_id);
@@ -139,14 +151,11 @@
             return;
         }
         let now = self.clock.now();
-        let deadline = request.mark_received(now);
-        let purpose = TimerPurpose::Deadline(request_id.clone());
-        request.set_deadline_timer(self.timers.set(deadline + DEADLINE_GRACE, purpose));
-        for (number, attempt) in request.attempts_mut() {
+        request.update_wait_start(&self.clock);
+        request.mark_received(now);
+        for (_, attempt) in request.attempts_mut() {
             if attempt.response_started_at.is_none() {
                 attempt.sent_at = now;
-                let purpose = TimerPurpose::Attempt(request_id.clone(), number);
-                attempt.timeout_timer = Some(self.timers.set(now + attempt.timeout, purpose));
             }
         }
     }
--- /dev/null
+++ b/src/node/wire/body_arrival.rs
@@ -0,0 +1,92 @@
+//! Bounds the time at which a client has written the last byte of a streamed request body.
+//!
+//! The gateway reads such a body only as fast as the endpoint takes it. Bytes that it has not read yet wait in the
+//! buffers of the two systems, so the client may have written its last byte long before the gateway reads it. The
+//! client's wait counts from that byte, so the gateway assumes the earliest time that is possible.
+
+use std::{cell::Cell, time::Instant};
+
+/// Limit on the bytes that a client has written and the gateway has not forwarded yet. The send buffer of the client's
+/// system holds up to 4 MiB by default on Linux. The rest is for the receive buffer, which is limited to
+/// [`RECEIVE_BUFFER_BYTES`], and for bytes that the gateway has read ahead.
+const MAX_UNREAD_BYTES: u64 = 5 << 20;
+
+/// Size that is set for the system's receive buffer of a client's connection. Linux doubles it for its own overhead.
+pub const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
+
+/// Who delays the body at present.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// The gateway has read all bytes that have arrived and waits for more.
+    AwaitingClient,
+    /// Bytes may wait unread.
+    Backlogged,
+}
+
+/// A number of forwarded bytes and the time at which it was reached.
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    at: Instant,
+    forwarded_bytes: u64,
+}
+
+/// Arrival of one streamed request body.
+#[derive(Debug)]
+pub struct BodyArrival {
+    phase: Cell<Phase>,
+    /// Time at which the gateway last received bytes for which it had waited.
+    last_awaited_at: Cell<Instant>,
+    forwarded_bytes: Cell<u64>,
+    newer_mark: Cell<Mark>,
+    /// Mark that is at least [`MAX_UNREAD_BYTES`] behind, or the beginning of the body.
+    older_mark: Cell<Mark>,
+}
+
+impl BodyArrival {
+    /// Creates the arrival of a body of which the gateway received the first bytes, or the head, at `now`.
+    pub fn new(now: Instant) -> Self {
+        let beginning = Mark { at: now, forwarded_bytes: 0 };
+        Self {
+            phase: Cell::new(Phase::Backlogged),
+            last_awaited_at: Cell::new(now),
+            forwarded_bytes: Cell::new(0),
+            newer_mark: Cell::new(beginning),
+            older_mark: Cell::new(beginning),
+        }
+    }
+
+    /// Records that the gateway has read and forwarded all bytes and waits for more.
+    pub fn await_client(&self) {
+        self.phase.set(Phase::AwaitingClient);
+    }
+
+    /// Records that the wait is over. `last_awaited_at` is the time at which bytes last arrived on an empty socket.
+    pub fn end_wait(&self, last_awaited_at: Instant) {
+        self.phase.set(Phase::Backlogged);
+        self.last_awaited_at.set(self.last_awaited_at.get().max(last_awaited_at));
+    }
+
+    /// Records that the attempt has taken more bytes.
+    pub fn record_forwarded(&self, bytes: usize, now: Instant) {
+        let forwarded_bytes = self.forwarded_bytes.get() + bytes as u64;
+        self.forwarded_bytes.set(forwarded_bytes);
+        let newer_mark = self.newer_mark.get();
+        if forwarded_bytes - newer_mark.forwarded_bytes >= MAX_UNREAD_BYTES {
+            self.older_mark.set(newer_mark);
+            self.newer_mark.set(Mark { at: now, forwarded_bytes });
+        }
+    }
+
+    /// Returns the earliest time at which the client can have written the last byte; `None` while it has not, because
+    /// the gateway waits for more bytes.
+    pub fn earliest_end(&self) -> Option<Instant> {
+        match self.phase.get() {
+            Phase::AwaitingClient => None,
+            Phase::Backlogged => Some(self.last_awaited_at.get().max(self.older_mark.get().at)),
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "../../../tests/unit/body_arrival.rs"]
+mod tests;
--- a/src/node/wire/mod.rs
+++ b/src/node/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Formats of the messages that the gateway exchanges with clients, endpoints and discovery. Nothing here opens or uses
 //! a socket.
 
+pub mod body_arrival;
 pub mod client_request;
 pub mod client_response;
 pub mod endpoint_list;
--- a/src/node/wire/stream.rs
+++ b/src/node/wire/stream.rs
@@ -1,6 +1,7 @@
 //! Streamed request and response bodies. The frames of a body pass through a bounded channel with backpressure: a slow
 //! reader holds up the writer.
 
+use crate::node::wire::body_arrival::BodyArrival;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::{
@@ -32,6 +33,16 @@
     End,
 }
 
+impl BodyFrame {
+    /// Returns the number of bytes of the body in the frame.
+    pub fn data_length(&self) -> usize {
+        match self {
+            Self::Data(data) => data.len(),
+            Self::End => 0,
+        }
+    }
+}
+
 /// Receiving end of a streamed body.
 pub type BodyFrameReceiver = mpsc::Receiver<BodyFrame>;
 
@@ -49,17 +60,22 @@
 #[derive(Debug)]
 pub enum RequestBody {
     Buffered(Bytes),
-    /// A body too large to be buffered, which can be sent only once; `None` after an attempt has taken it.
-    Streamed(RefCell<Option<StreamedBody>>),
+    /// A body too large to be buffered, which can be sent only once.
+    Streamed {
+        /// `None` after an attempt has taken it.
+        body: RefCell<Option<StreamedBody>>,
+        /// Arrival of the body from the client.
+        arrival: Rc<BodyArrival>,
+    },
 }
 
 impl RequestBody {
     /// Creates a streamed body and the sender of its frames. `length` is in bytes, `None` if unknown.
-    pub fn streamed(length: Option<usize>) -> (mpsc::Sender<BodyFrame>, Self) {
+    pub fn streamed(length: Option<usize>, arrival: Rc<BodyArrival>) -> (mpsc::Sender<BodyFrame>, Self) {
         let (sender, frames) = channel();
         let remaining = length.map(|length| length as u64);
         let body = StreamedBody { frames, remaining, is_finished: Rc::default() };
-        (sender, Self::Streamed(RefCell::new(Some(body))))
+        (sender, Self::Streamed { body: RefCell::new(Some(body)), arrival })
     }
 
     /// Returns the body for one attempt; `None` if the body is streamed and an earlier attempt has taken it.
@@ -68,7 +84,7 @@
             Self::Buffered(bytes) => {
                 Some(OutgoingBody::Buffered(Some(bytes.clone()).filter(|b| !b.is_empty())))
             }
-            Self::Streamed(body) => body.take().map(OutgoingBody::Streamed),
+            Self::Streamed { body, .. } => body.take().map(OutgoingBody::Streamed),
         }
     }
 
@@ -76,7 +92,15 @@
     pub fn is_available(&self) -> bool {
         match self {
             Self::Buffered(_) => true,
-            Self::Streamed(body) => body.borrow().is_some(),
+            Self::Streamed { body, .. } => body.borrow().is_some(),
+        }
+    }
+
+    /// Returns the arrival of a streamed body; `None` for a buffered body, which has arrived.
+    pub fn arrival(&self) -> Option<&BodyArrival> {
+        match self {
+            Self::Buffered(_) => None,
+            Self::Streamed { arrival, .. } => Some(arrival),
         }
     }
 }
--- /dev/null
+++ b/tests/unit/body_arrival.rs
@@ -0,0 +1,50 @@
+//! Tests of the bound on the time of a body's last byte.
+
+use super::*;
+use std::time::Duration;
+
+/// Returns the time at this many milliseconds after `start`.
+fn after(start: Instant, milliseconds: u64) -> Instant {
+    start + Duration::from_millis(milliseconds)
+}
+
+/// Guards against a client's wait that begins only when a slow endpoint has taken the body.
+#[test]
+fn last_byte_may_have_been_written_with_first_while_bytes_wait_unread() {
+    let start = Instant::now();
+    let arrival = BodyArrival::new(start);
+    arrival.record_forwarded(100_000, after(start, 900));
+    assert_eq!(arrival.earliest_end(), Some(start));
+    // A read that did not wait changes nothing.
+    arrival.await_client();
+    arrival.end_wait(start);
+    assert_eq!(arrival.earliest_end(), Some(start));
+}
+
+/// Guards against a slow client that is answered before it has sent its request.
+#[test]
+fn wait_does_not_begin_while_client_is_awaited() {
+    let start = Instant::now();
+    let arrival = BodyArrival::new(start);
+    arrival.await_client();
+    assert_eq!(arrival.earliest_end(), None);
+    arrival.end_wait(after(start, 5000));
+    assert_eq!(arrival.earliest_end(), Some(after(start, 5000)));
+    arrival.record_forwarded(10, after(start, 5001));
+    assert_eq!(arrival.earliest_end(), Some(after(start, 5000)));
+}
+
+/// Guards against a long body that is cut off while its client still writes it at full speed.
+#[test]
+fn last_byte_is_at_most_as_old_as_bytes_that_buffers_can_hold() {
+    let start = Instant::now();
+    let arrival = BodyArrival::new(start);
+    let half = MAX_UNREAD_BYTES as usize / 2;
+    for step in 1..=12 {
+        arrival.record_forwarded(half, after(start, step * 100));
+        let earliest_end = arrival.earliest_end().expect("bytes may wait unread");
+        // The buffers hold two steps; a mark is set every two steps.
+        let expected_step = (step / 2 * 2).saturating_sub(2);
+        assert_eq!(earliest_end, after(start, expected_step * 100), "step {step}");
+    }
+}
--- a/tests/unit/open_request.rs
+++ b/tests/unit/open_request.rs
@@ -27,6 +27,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
     InFlightAttempt {
         endpoint: "w0".into(),
+        started_at: 10.0,
         sent_at: 10.0,
         timeout: 0.5,
         response_started_at,
