Run no request twice when its id comes again, also at the other process

Cause: RequestTable held a transaction id only while the request was open, and each process knew its own ids only. Measured before: after the first run had ended, the same id got 200 and a second run; at the successor it ran again while the first was still running at the predecessor.

Now the table remembers the ids of requests that may have run and must not run again, by hash and up to a 64th of the memory (16,384 ids at 32 MB, the oldest dropped first). Processes of one gateway tell each other each such id before its first attempt, and a successor gets all of them in the handshake. The message is sent only to a peer whose handshake shows that it knows it, so earlier versions still hand over. Such an id gets 409; ids that never ran, and idempotent classes, are served again.

Two tests sent one id again and again for different at-most-once requests, against the protocol ('X-Txn: new for every request'); they now use an id for each.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
     Time,
 };
 pub use policy::Gateway;
+pub use primitives::stable_hash::stable_hash;
 pub use settings::{
     Class, Effect, IdempotencyScope, Options, OptionsError, Plan, Settings, SettingsDocument, SettingsError,
 };
--- a/src/node/config/mod.rs
+++ b/src/node/config/mod.rs
@@ -39,6 +39,10 @@
 const CLIENT_DESCRIPTOR_DIVISOR: usize = 3;
 /// The memory of the process divided by this is the limit for request and response bodies in transit.
 const BODY_MEMORY_DIVISOR: usize = 4;
+/// Memory for remembering one request that must not run again, in bytes.
+const RECENT_REQUEST_ID_BYTES: usize = 32;
+/// The memory of the process divided by this is the limit for remembering such requests.
+const RECENT_REQUEST_ID_MEMORY_DIVISOR: usize = 64;
 /// The memory of the process divided by this is the maximum length of an endpoint list's text. With 32 MB this is
 /// about 420 bytes for each of 10,000 endpoints; an indented entry has about 300 bytes. While the list is read, the
 /// parsed entries take less than half as much as the text, and the endpoint tables built from them take no more
@@ -150,6 +154,11 @@
         self.memory_bytes / BODY_MEMORY_DIVISOR
     }
 
+    /// Returns the number of requests to remember that have run and must not run again.
+    pub fn max_recent_request_ids(&self) -> usize {
+        self.memory_bytes / RECENT_REQUEST_ID_MEMORY_DIVISOR / RECENT_REQUEST_ID_BYTES
+    }
+
     /// Returns the maximum length of an endpoint list's text, in bytes.
     pub fn max_list_bytes(&self) -> usize {
         self.memory_bytes / LIST_MEMORY_DIVISOR
--- a/src/node/hot_restart/message.rs
+++ b/src/node/hot_restart/message.rs
@@ -9,6 +9,9 @@
 /// Version of the message format. A process that announces another version is rejected.
 pub const FORMAT_VERSION: u32 = 1;
 
+/// Hash of a request's transaction id, the same in all processes of a gateway.
+pub type RequestIdHash = u64;
+
 /// A message between two processes of a gateway.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -20,6 +23,9 @@
         /// Name of the successor's gateway.
         #[serde(rename = "node")]
         gateway_name: String,
+        /// True if the successor knows [`Message::RequestIds`]. Earlier versions neither send nor read this.
+        #[serde(rename = "ids", default, skip_serializing_if = "std::ops::Not::not")]
+        shares_request_ids: bool,
     },
     /// First message of a predecessor: the state that the successor takes over.
     #[serde(rename = "Knows")]
@@ -34,6 +40,9 @@
         #[serde(rename = "out")]
         in_maintenance: bool,
     },
+    /// Requests that may have run and must not run again, by the hashes of their transaction ids. A predecessor sends
+    /// it before the snapshot to a successor that knows it, and both send more while they run.
+    RequestIds { hashes: Vec<RequestIdHash> },
 }
 
 impl Message {
@@ -43,6 +52,7 @@
             Self::Hello { .. } => "Hello",
             Self::Snapshot(_) => "Knows",
             Self::MaintenanceChanged { .. } => "ByHand",
+            Self::RequestIds { .. } => "RequestIds",
         }
     }
 }
--- a/src/node/hot_restart/predecessor.rs
+++ b/src/node/hot_restart/predecessor.rs
@@ -4,7 +4,7 @@
     framing::split,
     handshake::{HANDSHAKE_TIMEOUT, HandshakeError},
     message::{FORMAT_VERSION, Message},
-    peer_connection::{SharedHandler, add_peer},
+    peer_connection::{NewPeer, SharedHandler, add_peer},
     replica_table::{MAX_PEERS, PeerRole, ReplicaTable},
     shared_folder::SharedFolder,
     successor::SuccessorListener,
@@ -56,15 +56,24 @@
         let socket = UnixStream::connect(path).await?;
         let (mut reader, mut writer) = split(socket, table.max_message_bytes());
         let gateway_name = table.gateway_name().to_owned();
-        writer.write(&Message::Hello { format_version: FORMAT_VERSION, gateway_name }).await?;
-        let reply = reader.read().await?;
-        Ok::<_, HandshakeError>((reply, reader, writer))
+        let hello = Message::Hello { format_version: FORMAT_VERSION, gateway_name, shares_request_ids: true };
+        writer.write(&hello).await?;
+        let first_reply = reader.read().await?;
+        // Only a predecessor that knows the message sends transaction ids.
+        let Message::RequestIds { hashes } = first_reply else {
+            return Ok::<_, HandshakeError>((None, first_reply, reader, writer));
+        };
+        Ok((Some(hashes), reader.read().await?, reader, writer))
     };
     let handshake_result =
         timeout(HANDSHAKE_TIMEOUT, handshake).await.map_err(|_| HandshakeError::Timeout)?;
-    let (reply, reader, writer) = handshake_result?;
+    let (request_ids, reply, reader, writer) = handshake_result?;
     let Message::Snapshot(snapshot) = reply else { return Err(HandshakeError::unexpected(&reply)) };
     handler.receive_snapshot(snapshot);
-    add_peer(table, handler, PeerRole::Predecessor, reader, writer, None);
+    let shares_request_ids = request_ids.is_some();
+    handler.receive_request_ids(request_ids.unwrap_or_default());
+    let first_messages = Vec::new();
+    let role = PeerRole::Predecessor;
+    add_peer(table, handler, NewPeer { role, reader, writer, shares_request_ids, first_messages });
     Ok(())
 }
--- a/src/node/hot_restart/successor.rs
+++ b/src/node/hot_restart/successor.rs
@@ -4,7 +4,7 @@
     framing::split,
     handshake::{HANDSHAKE_TIMEOUT, HandshakeError},
     message::{FORMAT_VERSION, Message},
-    peer_connection::{SharedHandler, add_peer},
+    peer_connection::{NewPeer, SharedHandler, add_peer},
     replica_table::{PeerRole, ReplicaTable},
     shared_folder::SharedFolder,
 };
@@ -69,16 +69,19 @@
 ) -> Result<(), HandshakeError> {
     let (mut reader, writer) = split(socket, table.max_message_bytes());
     let received = timeout(HANDSHAKE_TIMEOUT, reader.read()).await.map_err(|_| HandshakeError::Timeout)?;
-    check_hello(&received?, table.gateway_name())?;
-    // Later changes wait in the peer's outbox and are written after the snapshot.
-    let snapshot = Message::Snapshot(handler.snapshot());
-    add_peer(table, handler, PeerRole::Successor, reader, writer, Some(snapshot));
+    let shares_request_ids = check_hello(&received?, table.gateway_name())?;
+    // Later changes wait in the peer's outbox and are written after these.
+    let request_ids = shares_request_ids.then(|| Message::RequestIds { hashes: handler.request_ids() });
+    let first_messages = request_ids.into_iter().chain([Message::Snapshot(handler.snapshot())]).collect();
+    let role = PeerRole::Successor;
+    add_peer(table, handler, NewPeer { role, reader, writer, shares_request_ids, first_messages });
     Ok(())
 }
 
-/// Checks that a first message comes from a successor of this gateway with the same message format.
-fn check_hello(message: &Message, own_gateway_name: &str) -> Result<(), HandshakeError> {
-    let Message::Hello { format_version, gateway_name } = message else {
+/// Checks that a first message comes from a successor of this gateway with the same message format. Returns whether the
+/// successor knows the message for transaction ids.
+fn check_hello(message: &Message, own_gateway_name: &str) -> Result<bool, HandshakeError> {
+    let Message::Hello { format_version, gateway_name, shares_request_ids } = message else {
         return Err(HandshakeError::unexpected(message));
     };
     if *format_version != FORMAT_VERSION {
@@ -87,7 +90,7 @@
     if gateway_name != own_gateway_name {
         return Err(HandshakeError::OtherGateway(gateway_name.clone()));
     }
-    Ok(())
+    Ok(*shares_request_ids)
 }
 
 #[cfg(test)]
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -8,11 +8,12 @@
         endpoint_pool::{EndpointPool, Target},
         write_progress::WriteProgressHandle,
     },
+    hot_restart::replica_table::ReplicaTable,
     runtime::{
         clock::Clock,
         open_request::{DeliveryOutcome, InFlightAttempt, OpenRequest},
         policy_loop::PolicyLoop,
-        request_table::RequestTable,
+        request_table::{self, RequestTable},
         timers::{TimerPurpose, Timers},
     },
     wire::{
@@ -48,18 +49,21 @@
     timers: Rc<Timers>,
     table: Rc<RequestTable>,
     endpoints: Rc<EndpointPool>,
+    replicas: Rc<ReplicaTable>,
 }
 
 impl Attempts {
-    /// Creates the attempts of the requests in `table`. They are sent through `endpoints`.
+    /// Creates the attempts of the requests in `table`. They are sent through `endpoints`, and `replicas` are notified of
+    /// requests that must not run again.
     pub fn new(
         policy: Rc<PolicyLoop>,
         clock: Rc<Clock>,
         timers: Rc<Timers>,
         table: Rc<RequestTable>,
         endpoints: Rc<EndpointPool>,
+        replicas: Rc<ReplicaTable>,
     ) -> Rc<Self> {
-        Rc::new(Self { policy, clock, timers, table, endpoints })
+        Rc::new(Self { policy, clock, timers, table, endpoints, replicas })
     }
 
     /// Starts an attempt. Reports it as not sent if its request no longer waits, its endpoint is unknown or no time is
@@ -96,6 +100,9 @@
         }
         let number = request.next_attempt_number();
         let upstream = request.upstream().clone();
+        if number == 0 && !request.is_repeatable() {
+            self.replicas.notify_request_id(request_table::hash(&upstream.transaction_id));
+        }
         debug!(request = ?upstream.transaction_id, attempt = number, endpoint = %endpoint, timeout, "attempt started");
         let write_progress = WriteProgressHandle::default();
         let task = self.spawn(request_id.clone(), number, target, upstream, timeout, write_progress.clone());
@@ -178,6 +185,9 @@
         if result.status == Status::Ok {
             request.deliver(FinalResponse::Served(result.body));
         }
+        if !result.status.never_ran() {
+            request.mark_may_have_run();
+        }
         let is_finished = !request.is_waiting();
         drop(request);
         self.release(request_id);
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -7,8 +7,8 @@
         body_memory::BodyMemory, discovery::follower::EndpointListSink, endpoint_pool::EndpointPool,
     },
     hot_restart::{
-        maintenance_file::MaintenanceFile, peer_connection::ReplicaHandler, replica_counts::ReplicaCounts,
-        replica_table::ReplicaTable,
+        maintenance_file::MaintenanceFile, message::RequestIdHash, peer_connection::ReplicaHandler,
+        replica_counts::ReplicaCounts, replica_table::ReplicaTable,
     },
     metrics::Metrics,
     runtime::{
@@ -38,6 +38,7 @@
     clock: Rc<Clock>,
     timers: Rc<Timers>,
     policy: Rc<PolicyLoop>,
+    table: Rc<RequestTable>,
     requests: Rc<Requests>,
     attempts: Rc<Attempts>,
     counter_calls: CounterCalls,
@@ -65,7 +66,7 @@
         let gateway = Gateway::new(settings.clone(), config.seed)?;
         let clock = Rc::new(Clock::new());
         let timers = Rc::new(Timers::default());
-        let table = Rc::new(RequestTable::default());
+        let table = Rc::new(RequestTable::new(config.max_recent_request_ids()));
         let replica_counts = Rc::new(ReplicaCounts::default());
         let body_memory =
             BodyMemory::new(config.body_memory_bytes(), config.max_open_requests(), replica_counts.clone());
@@ -80,9 +81,16 @@
                 timers.clone(),
                 table.clone(),
                 endpoints.clone(),
+                replicas.clone(),
+            );
+            let requests = Requests::new(
+                policy.clone(),
+                clock.clone(),
+                timers.clone(),
+                table.clone(),
+                attempts.clone(),
+                settings.classes.clone(),
             );
-            let requests =
-                Requests::new(policy.clone(), clock.clone(), timers.clone(), table, attempts.clone());
             let counter_calls = CounterCalls::new(config.counter, settings, policy.clone(), timers.clone());
             let maintenance = Maintenance::new(policy.clone(), endpoints.clone(), replicas.clone(), file);
             let poll_requested = Rc::default();
@@ -90,6 +98,7 @@
                 clock,
                 timers,
                 policy,
+                table,
                 requests,
                 attempts,
                 counter_calls,
@@ -249,6 +258,14 @@
         self.maintenance.set(endpoint, in_maintenance);
     }
 
+    fn request_ids(&self) -> Vec<RequestIdHash> {
+        self.table.request_id_hashes()
+    }
+
+    fn receive_request_ids(&self, hashes: Vec<RequestIdHash>) {
+        self.table.remember(hashes);
+    }
+
     fn replicas_changed(&self) {
         let index = self.replica_counts.index();
         let count = self.replica_counts.count();
--- a/src/node/runtime/mod.rs
+++ b/src/node/runtime/mod.rs
@@ -19,6 +19,7 @@
 pub mod maintenance;
 pub mod open_request;
 pub mod policy_loop;
+pub mod recent_ids;
 pub mod request_table;
 pub mod requests;
 pub mod timers;
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -74,6 +74,10 @@
     /// Time from which endpoints may forget the idempotency key, so that no attempt may be written any more. Infinite
     /// without such a limit.
     dedup_until: Time,
+    /// True if the request may run any number of times.
+    is_repeatable: bool,
+    /// True if an attempt has ended that may have run.
+    may_have_run: bool,
     /// Memory reserved for the request's body; `None` if the body has no reservation, or a response has taken it over.
     body_memory: Option<MemoryPermit>,
     /// Attempts, indexed by their number; `None` once an attempt has ended.
@@ -95,6 +99,8 @@
             is_received: false,
             deadline_timer: None,
             dedup_until: f64::INFINITY,
+            is_repeatable: true,
+            may_have_run: false,
             body_memory: None,
             attempts: Vec::new(),
         }
@@ -105,6 +111,26 @@
         &self.upstream
     }
 
+    /// Records that the request must not be run again once it may have run.
+    pub fn forbid_repetition(&mut self) {
+        self.is_repeatable = false;
+    }
+
+    /// Returns whether the request may run any number of times.
+    pub fn is_repeatable(&self) -> bool {
+        self.is_repeatable
+    }
+
+    /// Records that an attempt has ended that may have run.
+    pub fn mark_may_have_run(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// Returns whether a finished request may be run again under the same transaction id.
+    pub fn may_run_again(&self) -> bool {
+        self.is_repeatable || !self.may_have_run
+    }
+
     /// Holds the memory that is reserved for the request's body until the request is finished.
     pub fn hold_body_memory(&mut self, memory: MemoryPermit) {
         self.body_memory = Some(memory);
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -15,7 +15,7 @@
     },
     wire::{client_request::ClientRequest, stream::RequestBody},
 };
-use oliverack::{Event, RejectionReason, Request, RequestId, Seconds};
+use oliverack::{Class, Effect, Event, RejectionReason, Request, RequestId, Seconds};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use tracing::debug;
@@ -40,18 +40,20 @@
     timers: Rc<Timers>,
     table: Rc<RequestTable>,
     attempts: Rc<Attempts>,
+    classes: Vec<Class>,
 }
 
 impl Requests {
-    /// Creates the handler of the requests in `table`, which are served by `attempts`.
+    /// Creates the handler of the requests in `table`, which are served by `attempts` and belong to `classes`.
     pub fn new(
         policy: Rc<PolicyLoop>,
         clock: Rc<Clock>,
         timers: Rc<Timers>,
         table: Rc<RequestTable>,
         attempts: Rc<Attempts>,
+        classes: Vec<Class>,
     ) -> Rc<Self> {
-        Rc::new(Self { policy, clock, timers, table, attempts })
+        Rc::new(Self { policy, clock, timers, table, attempts, classes })
     }
 
     /// Returns the number of requests that wait for their final response.
@@ -102,6 +104,10 @@
         self.policy.post(Event::ClientDisconnected { request_id });
     }
 
+    fn is_idempotent(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|class| class.effect == Effect::Idempotent)
+    }
+
     fn respond(&self, request_id: &RequestId, response: FinalResponse) {
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         let outcome = request.deliver(response);
@@ -125,6 +131,9 @@
         let upstream = Rc::new(request.upstream);
         let mut open_request = OpenRequest::new(response, upstream.clone(), request.remaining_seconds);
         open_request.hold_body_memory(body_memory);
+        if !self.is_idempotent(request.class) {
+            open_request.forbid_repetition();
+        }
         let purpose = TimerPurpose::Deadline(request_id.clone());
         open_request.set_deadline_timer(self.timers.set(deadline + DEADLINE_GRACE, purpose));
         self.table.insert(request_id.clone(), open_request);
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -137,10 +137,10 @@
     let endpoints: Vec<&FakeEndpoint> = endpoints.iter().collect();
     let node = start_with_memory(&endpoints, 32);
     let mut client = node.connect();
-    let mut upload = TestRequest::at_most_once("upload");
-    upload.body = vec![b'x'; BODY_BYTES];
     // One after the other, so that the gateway holds the body of one request at a time.
-    for _ in 0..4 * ENDPOINTS {
+    for i in 0..4 * ENDPOINTS {
+        let mut upload = TestRequest::at_most_once(&format!("upload{i}"));
+        upload.body = vec![b'x'; BODY_BYTES];
         assert_eq!(client.send_request(&upload).status(), 200);
     }
     // A quarter of the limit is for bodies, and the gateway has none now.
--- a/tests/unit/hot_restart_framing.rs
+++ b/tests/unit/hot_restart_framing.rs
@@ -20,7 +20,8 @@
 #[test]
 fn complete_line_is_read_as_message() {
     let message = read_message("{\"Hello\":{\"form\":1,\"node\":\"n0\"}}\n").expect("a message");
-    assert_eq!(message, Message::Hello { format_version: 1, gateway_name: "n0".to_owned() });
+    let gateway_name = "n0".to_owned();
+    assert_eq!(message, Message::Hello { format_version: 1, gateway_name, shares_request_ids: false });
 }
 
 #[test]
--- a/tests/unit/hot_restart_message.rs
+++ b/tests/unit/hot_restart_message.rs
@@ -29,7 +29,7 @@
         counter_calls_per_second: 4.0,
     };
     [
-        (Message::Hello { format_version: FORMAT_VERSION, gateway_name: "n0".to_owned() }, HELLO),
+        (hello(false), HELLO),
         (Message::Snapshot(snapshot), SNAPSHOT),
         (
             Message::MaintenanceChanged { endpoint: "s-00000007".into(), in_maintenance: true },
@@ -38,6 +38,26 @@
     ]
 }
 
+/// Returns the first message of a successor.
+fn hello(shares_request_ids: bool) -> Message {
+    Message::Hello { format_version: FORMAT_VERSION, gateway_name: "n0".to_owned(), shares_request_ids }
+}
+
+#[test]
+fn messages_for_request_ids_keep_their_form() {
+    for (message, bytes) in [
+        (hello(true), r#"{"Hello":{"form":1,"node":"n0","ids":true}}"#),
+        (
+            Message::RequestIds { hashes: vec![7, u64::MAX] },
+            r#"{"RequestIds":{"hashes":[7,18446744073709551615]}}"#,
+        ),
+    ] {
+        assert_eq!(serde_json::to_string(&message).expect("a message"), bytes);
+        let read: Message = serde_json::from_str(bytes).expect("a valid message");
+        assert_eq!(read, message);
+    }
+}
+
 #[test]
 fn message_is_written_as_by_earlier_versions() {
     for (message, bytes) in messages() {
--- a/tests/unit/hot_restart_successor.rs
+++ b/tests/unit/hot_restart_successor.rs
@@ -4,12 +4,12 @@
 use oliverack::HandoverSnapshot;
 
 fn hello(format_version: u32, gateway_name: &str) -> Message {
-    Message::Hello { format_version, gateway_name: gateway_name.to_owned() }
+    Message::Hello { format_version, gateway_name: gateway_name.to_owned(), shares_request_ids: true }
 }
 
 #[test]
 fn hello_of_same_gateway_and_format_is_accepted() {
-    assert!(check_hello(&hello(FORMAT_VERSION, "n0"), "n0").is_ok());
+    assert!(check_hello(&hello(FORMAT_VERSION, "n0"), "n0").expect("a successor"), "it shares request ids");
 }
 
 #[test]
--- a/tests/unread_body.rs
+++ b/tests/unread_body.rs
@@ -174,7 +174,8 @@
             is_body_immediate: false,
             body_length,
         };
-        let (head, body) = head_and_body(&TestRequest::at_most_once("old"), form);
+        let request = TestRequest::at_most_once(&format!("old{body_length}"));
+        let (head, body) = head_and_body(&request, form);
         let mut client = node.connect();
         client.send(&head);
         thread::sleep(CONTINUE_WAIT);
