See a client's close behind any input, and begin no attempt while it may be hidden

Cause: while a request was open the gateway read at most 512 KiB ahead, or nothing while memory was short. The end of the input behind more than that was not seen, so a retry, or an attempt that had waited for its connection, still began.

Behind a complete request the gateway now reads on and discards what is beyond the limit; such a connection closes after its response, as a client sends one request at a time. In an upload that waits for its attempt it reads ahead up to what the systems' buffers hold.

--- a/src/node/connection/clients/body_upload.rs
+++ b/src/node/connection/clients/body_upload.rs
@@ -143,12 +143,13 @@
             response = &mut *response_receiver => {
                 return Ok(SendOutcome::ResponseArrived(response.unwrap_or(FinalResponse::Failed)));
             }
-            () = socket.wait_for_disconnect() => {
+            () = socket.wait_for_disconnect_in_upload(&self.arrival) => {
                 return Err(ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected));
             }
             sent = self.sender.send(frame) => sent,
         };
         socket.state.exclude_gateway_wait(started_at);
+        self.arrival.show_close();
         self.arrival.record_forwarded(frame_bytes, Instant::now());
         Ok(if sent.is_ok() { SendOutcome::Sent } else { SendOutcome::AttemptEnded })
     }
--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -155,7 +155,7 @@
     options.allows_keep_alive
         && response.is_self_delimiting(options.minor_version)
         && !context.is_stopping.get()
-        && !exchange.has_unread_body()
+        && !exchange.must_close()
 }
 
 /// Ends an exchange: keeps the connection open for the next request, or closes it and returns an error.
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -46,9 +46,10 @@
         Self { socket, response_memory: None, unread_body_decoder: body.content.into_decoder() }
     }
 
-    /// Returns whether the client may still send the rest of a body that is not needed. The connection must close then.
-    pub fn has_unread_body(&self) -> bool {
-        self.unread_body_decoder.is_some()
+    /// Returns whether the connection must close after the response, because the client may still send the rest of a body
+    /// that is not needed, or requests behind this one were discarded.
+    pub fn must_close(&self) -> bool {
+        self.unread_body_decoder.is_some() || self.socket.is_input_discarded
     }
 
     /// Hands the request to the handler; returns `None` if a request with the same transaction id is open.
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -9,7 +9,10 @@
         },
         socket_input::has_input,
     },
-    wire::{body_arrival::RECEIVE_BUFFER_BYTES, stream::MAX_FRAME_BYTES},
+    wire::{
+        body_arrival::{BodyArrival, MAX_UNREAD_BYTES, RECEIVE_BUFFER_BYTES},
+        stream::MAX_FRAME_BYTES,
+    },
 };
 use bytes::BytesMut;
 use hyper::StatusCode;
@@ -28,6 +31,8 @@
 const CLIENT_DISCONNECTED: ConnectionEnd = ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected);
 /// Largest number of bytes read at once while a connection closes.
 const LINGER_READ_BYTES: usize = 4096;
+/// Largest number of bytes discarded at once behind a request.
+const DISCARD_READ_BYTES: usize = 16 * 1024;
 /// Highest number of reads while a connection closes: 256 KiB in total.
 const MAX_LINGER_READS: usize = 64;
 
@@ -40,10 +45,21 @@
     pub buffer: BytesMut,
     /// Memory reserved for the bytes in the buffer: of a long head, or read while the gateway works on a request.
     buffer_memory: MemoryPermit,
+    /// True if input behind the current request was discarded, so that the connection can't carry another request.
+    pub is_input_discarded: bool,
     /// Time at which bytes of a request last arrived after the gateway had read all bytes before them.
     pub last_awaited_at: Instant,
 }
 
+/// Reason why reading ahead has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReadAhead {
+    /// The client has closed or reset the connection.
+    Disconnected,
+    /// The buffer holds as much as it may, or memory is short.
+    LimitReached,
+}
+
 /// Meaning of a wake-up by [`ConnectionState::close_signal`].
 enum CloseSignal {
     /// The close request belongs to an earlier stage and is void.
@@ -61,7 +77,15 @@
         // A failure leaves the system's default, of which little is used before the gateway reads.
         let _ = SockRef::from(&tcp).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         let last_awaited_at = Instant::now();
-        Self { context, tcp, state, buffer: BytesMut::new(), buffer_memory, last_awaited_at }
+        Self {
+            context,
+            tcp,
+            state,
+            buffer: BytesMut::new(),
+            buffer_memory,
+            is_input_discarded: false,
+            last_awaited_at,
+        }
     }
 
     /// Frees the buffer if it is empty, so that idle connections hold no memory.
@@ -141,34 +165,73 @@
         let _ = self.tcp.write_all(CONTINUE_RESPONSE).await;
     }
 
-    /// Waits until the client has disconnected. Meanwhile reads received bytes into the buffer, up to a limit, because
-    /// the end of the input would go unnoticed behind a full receive buffer, and the system's is small.
+    /// Waits until the client has disconnected, after it has sent its request. Meanwhile reads received bytes into the
+    /// buffer, because the end of the input would go unnoticed behind them. Beyond a limit discards them: a client that
+    /// sends so much behind its request does not wait for the responses, as it should.
     ///
-    /// Cancel safe: the bytes that were read stay in the buffer.
+    /// Cancel safe: the bytes that were read stay in the buffer, or the connection is marked.
     pub async fn wait_for_disconnect(&mut self) {
-        while self.can_read_ahead() {
+        if self.read_ahead(MAX_BUFFER_BYTES_WITH_HEADROOM).await == ReadAhead::Disconnected {
+            return;
+        }
+        loop {
             tokio::select! {
                 biased;
                 () = wait_for_peer_close(&self.tcp) => return,
                 ready = self.tcp.readable() => if ready.is_err() { return },
             }
+            self.release_buffer();
+            let mut discarded = [0; DISCARD_READ_BYTES];
+            match self.tcp.try_read(&mut discarded) {
+                Ok(0) => return,
+                Ok(_) => self.is_input_discarded = true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Waits until the client has disconnected, while it may still be sending the body of its request. Meanwhile reads
+    /// received bytes into the buffer, up to a limit. Beyond it, tells `arrival` that a close may be hidden. The limit is
+    /// higher while the body waits for an attempt to begin, which must not begin after a close.
+    ///
+    /// Cancel safe: the bytes that were read stay in the buffer.
+    pub async fn wait_for_disconnect_in_upload(&mut self, arrival: &BodyArrival) {
+        let max_bytes = if arrival.is_taken() { MAX_BUFFER_BYTES_WITH_HEADROOM } else { MAX_UNREAD_BYTES };
+        if self.read_ahead(max_bytes).await == ReadAhead::Disconnected {
+            return;
+        }
+        arrival.hide_close(Instant::now());
+        wait_for_peer_close(&self.tcp).await;
+    }
+
+    /// Reads received bytes into the buffer until the client has disconnected or the buffer holds `max_bytes`, or memory
+    /// is short.
+    async fn read_ahead(&mut self, max_bytes: usize) -> ReadAhead {
+        while self.can_read_ahead(max_bytes) {
+            tokio::select! {
+                biased;
+                () = wait_for_peer_close(&self.tcp) => return ReadAhead::Disconnected,
+                ready = self.tcp.readable() => if ready.is_err() { return ReadAhead::Disconnected },
+            }
             let needed = self.buffer.len() + MAX_FRAME_BYTES;
             if self.buffer_memory.extend_to(needed).is_none() {
-                break;
+                return ReadAhead::LimitReached;
             }
             self.buffer.reserve(MAX_FRAME_BYTES);
             match self.tcp.try_read_buf(&mut self.buffer) {
-                Ok(0) => return,
+                Ok(0) => return ReadAhead::Disconnected,
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.release_empty_buffer(),
-                Err(_) => return,
+                Err(_) => return ReadAhead::Disconnected,
             }
         }
-        wait_for_peer_close(&self.tcp).await;
+        ReadAhead::LimitReached
     }
 
-    fn can_read_ahead(&self) -> bool {
-        self.buffer.len() + MAX_FRAME_BYTES <= MAX_BUFFER_BYTES_WITH_HEADROOM
+    fn can_read_ahead(&self, max_bytes: usize) -> bool {
+        !self.is_input_discarded
+            && self.buffer.len() + MAX_FRAME_BYTES <= max_bytes
             && self.context.memory.has_headroom_for(MAX_FRAME_BYTES)
     }
 
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -141,7 +141,9 @@
     }
 
     fn may_send(&self, request_id: &RequestId) -> bool {
-        self.table.is_some_and(request_id, |request| request.may_send(self.clock.now()))
+        self.table.is_some_and(request_id, |request| {
+            request.may_send(self.clock.now()) && !request.may_be_abandoned()
+        })
     }
 
     /// Delivers a streamed response as the final one and returns the sender of its frames. `None` if the client
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -10,7 +10,7 @@
     wire::{client_request::UpstreamRequest, stream::RequestBody},
 };
 use oliverack::{EndpointId, Seconds, Time};
-use std::{fmt::Debug, rc::Rc};
+use std::{fmt::Debug, rc::Rc, time::Instant};
 use tokio::{sync::oneshot, task::AbortHandle};
 use tracing::debug;
 
@@ -164,6 +164,11 @@
         self.is_waiting() && now < self.dedup_until
     }
 
+    /// Returns whether the client may have disconnected without having been noticed.
+    pub fn may_be_abandoned(&self) -> bool {
+        self.upstream.body.arrival().is_some_and(|arrival| arrival.may_be_abandoned(Instant::now()))
+    }
+
     /// Sets the time from which endpoints may forget the request's idempotency key.
     pub fn set_dedup_until(&mut self, until: Time) {
         self.dedup_until = until;
--- a/src/node/wire/body_arrival.rs
+++ b/src/node/wire/body_arrival.rs
@@ -4,16 +4,22 @@
 //! buffers of the two systems, so the client may have written its last byte long before the gateway reads it. The
 //! client's wait counts from that byte, so the gateway assumes the earliest time that is possible.
 
-use std::{cell::Cell, time::Instant};
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 /// Limit on the bytes that a client has written and the gateway has not forwarded yet. The send buffer of the client's
 /// system holds up to 4 MiB by default on Linux. The rest is for the receive buffer, which is limited to
 /// [`RECEIVE_BUFFER_BYTES`], and for bytes that the gateway has read ahead.
-const MAX_UNREAD_BYTES: u64 = 5 << 20;
+pub const MAX_UNREAD_BYTES: usize = 5 << 20;
 
 /// Size that is set for the system's receive buffer of a client's connection. Linux doubles it for its own overhead.
 pub const RECEIVE_BUFFER_BYTES: usize = 256 * 1024;
 
+/// Longest time for which a close may go unseen before an attempt begins. After 0.1 s the protocol allows none.
+const MAX_CLOSE_DELAY: Duration = Duration::from_millis(80);
+
 /// Who delays the body at present.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -27,7 +33,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Mark {
     at: Instant,
-    forwarded_bytes: u64,
+    forwarded_bytes: usize,
 }
 
 /// Arrival of one streamed request body.
@@ -36,10 +42,14 @@
     phase: Cell<Phase>,
     /// Time at which the gateway last received bytes for which it had waited.
     last_awaited_at: Cell<Instant>,
-    forwarded_bytes: Cell<u64>,
+    forwarded_bytes: Cell<usize>,
     newer_mark: Cell<Mark>,
     /// Mark that is at least [`MAX_UNREAD_BYTES`] behind, or the beginning of the body.
     older_mark: Cell<Mark>,
+    /// Time since which a close by the client would not be seen behind unread bytes; `None` if it would be.
+    close_hidden_since: Cell<Option<Instant>>,
+    /// True once an attempt has begun to send the body.
+    is_taken: Cell<bool>,
 }
 
 impl BodyArrival {
@@ -52,6 +62,8 @@
             forwarded_bytes: Cell::new(0),
             newer_mark: Cell::new(beginning),
             older_mark: Cell::new(beginning),
+            close_hidden_since: Cell::new(None),
+            is_taken: Cell::new(false),
         }
     }
 
@@ -68,7 +80,7 @@
 
     /// Records that the attempt has taken more bytes.
     pub fn record_forwarded(&self, bytes: usize, now: Instant) {
-        let forwarded_bytes = self.forwarded_bytes.get() + bytes as u64;
+        let forwarded_bytes = self.forwarded_bytes.get() + bytes;
         self.forwarded_bytes.set(forwarded_bytes);
         let newer_mark = self.newer_mark.get();
         if forwarded_bytes - newer_mark.forwarded_bytes >= MAX_UNREAD_BYTES {
@@ -77,6 +89,34 @@
         }
     }
 
+    /// Records that an attempt begins to send the body.
+    pub fn mark_taken(&self) {
+        self.is_taken.set(true);
+    }
+
+    /// Returns whether an attempt has begun to send the body.
+    pub fn is_taken(&self) -> bool {
+        self.is_taken.get()
+    }
+
+    /// Records that the gateway stops reading at `now`, so that a close by the client is not seen from now on.
+    pub fn hide_close(&self, now: Instant) {
+        if self.close_hidden_since.get().is_none() {
+            self.close_hidden_since.set(Some(now));
+        }
+    }
+
+    /// Records that the gateway reads again.
+    pub fn show_close(&self) {
+        self.close_hidden_since.set(None);
+    }
+
+    /// Returns whether the client may have disconnected so long before `now` that nothing may be sent for it any more.
+    pub fn may_be_abandoned(&self, now: Instant) -> bool {
+        let hidden_since = self.close_hidden_since.get();
+        hidden_since.is_some_and(|since| now.saturating_duration_since(since) > MAX_CLOSE_DELAY)
+    }
+
     /// Returns the earliest time at which the client can have written the last byte; `None` while it has not, because
     /// the gateway waits for more bytes.
     pub fn earliest_end(&self) -> Option<Instant> {
--- a/src/node/wire/stream.rs
+++ b/src/node/wire/stream.rs
@@ -84,7 +84,10 @@
             Self::Buffered(bytes) => {
                 Some(OutgoingBody::Buffered(Some(bytes.clone()).filter(|b| !b.is_empty())))
             }
-            Self::Streamed { body, .. } => body.take().map(OutgoingBody::Streamed),
+            Self::Streamed { body, arrival } => {
+                arrival.mark_taken();
+                body.take().map(OutgoingBody::Streamed)
+            }
         }
     }
 
--- a/tests/unit/body_arrival.rs
+++ b/tests/unit/body_arrival.rs
@@ -1,7 +1,6 @@
 //! Tests of the bound on the time of a body's last byte.
 
 use super::*;
-use std::time::Duration;
 
 /// Returns the time at this many milliseconds after `start`.
 fn after(start: Instant, milliseconds: u64) -> Instant {
@@ -34,12 +33,26 @@
     assert_eq!(arrival.earliest_end(), Some(after(start, 5000)));
 }
 
+/// Guards against an attempt that begins for a client whose close is hidden behind unread bytes.
+#[test]
+fn client_may_be_gone_once_its_close_was_hidden_too_long() {
+    let start = Instant::now();
+    let arrival = BodyArrival::new(start);
+    assert!(!arrival.may_be_abandoned(after(start, 10_000)));
+    arrival.hide_close(start);
+    arrival.hide_close(after(start, 70));
+    assert!(!arrival.may_be_abandoned(after(start, 80)));
+    assert!(arrival.may_be_abandoned(after(start, 81)));
+    arrival.show_close();
+    assert!(!arrival.may_be_abandoned(after(start, 81)));
+}
+
 /// Guards against a long body that is cut off while its client still writes it at full speed.
 #[test]
 fn last_byte_is_at_most_as_old_as_bytes_that_buffers_can_hold() {
     let start = Instant::now();
     let arrival = BodyArrival::new(start);
-    let half = MAX_UNREAD_BYTES as usize / 2;
+    let half = MAX_UNREAD_BYTES / 2;
     for step in 1..=12 {
         arrival.record_forwarded(half, after(start, step * 100));
         let earliest_end = arrival.earliest_end().expect("bytes may wait unread");
