Bound the silence within a response's head instead of the head's time

Cause: HEAD_TIMEOUT bounded the whole head to 1 s. Now the bound holds for each silence within the head; the attempt's timeout and the deadline bound the whole. A long body that is written in parts, 0.1 and 1.5 s apart, in all three framings, was not cut off before and is not now: its test passes on the old code as well.

--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -34,8 +34,8 @@
 };
 use tracing::debug;
 
-/// Longest time from a response's first byte to the end of its head. Slow endpoints write the head in small parts.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest silence within the head of a response. Slow endpoints write the head in small parts.
+const HEAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Failure of an exchange, by whether the endpoint may have run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -152,8 +152,8 @@
     }
 }
 
-/// Polls the connection until the response is read, the connection ends before the response's head, or the head takes
-/// too long. After the head has arrived, the rest of the response is read even if the connection has ended.
+/// Polls the connection until the response is read, the connection ends before the response's head, or the endpoint falls
+/// silent within the head. After the head has arrived, the rest of the response is read even if the connection has ended.
 async fn drive(
     driver: &mut Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
     progress: &WriteProgress,
@@ -161,7 +161,7 @@
     mut response: Pin<&mut impl Future<Output = Result<Response<BufferedBody>, UnclassifiedFailure>>>,
 ) -> Result<Response<BufferedBody>, UnclassifiedFailure> {
     let mut is_closed = false;
-    let mut head_timer: Option<Pin<Box<Sleep>>> = None;
+    let mut head_timer: Option<HeadTimer> = None;
     poll_fn(|cx| {
         // hyper's connection future must not be polled after it has completed.
         if !is_closed {
@@ -178,10 +178,32 @@
         }
         // Most heads arrive in one read and need no timer.
         if progress.has_response_started() {
-            let timer = head_timer.get_or_insert_with(|| Box::pin(sleep(HEAD_TIMEOUT)));
-            return timer.as_mut().poll(cx).map(|()| Err(UnclassifiedFailure::Broken));
+            let received_bytes = progress.received_bytes();
+            let timer = head_timer.get_or_insert_with(|| HeadTimer::new(received_bytes));
+            return timer.poll(cx, received_bytes).map(|()| Err(UnclassifiedFailure::Broken));
         }
         Poll::Pending
     })
     .await
 }
+
+/// Timer that ends once no byte of a response's head has arrived for [`HEAD_STALL_TIMEOUT`].
+struct HeadTimer {
+    sleep: Pin<Box<Sleep>>,
+    /// Bytes of the response that had arrived when the timer was last started.
+    received_bytes: usize,
+}
+
+impl HeadTimer {
+    fn new(received_bytes: usize) -> Self {
+        Self { sleep: Box::pin(sleep(HEAD_STALL_TIMEOUT)), received_bytes }
+    }
+
+    /// Restarts the timer if more bytes have arrived, and polls it.
+    fn poll(&mut self, cx: &mut Context<'_>, received_bytes: usize) -> Poll<()> {
+        if received_bytes > self.received_bytes {
+            *self = Self::new(received_bytes);
+        }
+        self.sleep.as_mut().poll(cx)
+    }
+}
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -26,7 +26,8 @@
     /// Length of head and body, known after the first write, which begins with the complete head. Always `None` if
     /// the body's length is not known in advance.
     request_length: Cell<Option<usize>>,
-    has_response_started: Cell<bool>,
+    /// Bytes of the final response that have arrived.
+    received_bytes: Cell<usize>,
     /// Count to be incremented once the next request is written completely.
     sent_requests: RefCell<Option<Rc<Cell<u64>>>>,
 }
@@ -38,7 +39,7 @@
         self.is_body_finished.replace(is_body_finished);
         self.written_bytes.set(0);
         self.request_length.set(None);
-        self.has_response_started.set(false);
+        self.received_bytes.set(0);
     }
 
     /// Counts the next request in `sent_requests` once it is written completely.
@@ -62,7 +63,12 @@
 
     /// Returns whether bytes of the final response have arrived.
     pub fn has_response_started(&self) -> bool {
-        self.has_response_started.get()
+        self.received_bytes.get() > 0
+    }
+
+    /// Returns the number of bytes of the final response that have arrived.
+    pub fn received_bytes(&self) -> usize {
+        self.received_bytes.get()
     }
 
     fn record_written(&self, bytes: usize) {
@@ -76,8 +82,8 @@
 
     /// Records bytes that were read. An interim response (1xx) doesn't count as the final one.
     fn record_read(&self, bytes: &[u8]) {
-        if !bytes.is_empty() && !bytes.starts_with(b"HTTP/1.1 1") {
-            self.has_response_started.set(true);
+        if self.has_response_started() || !bytes.starts_with(b"HTTP/1.1 1") {
+            self.received_bytes.set(self.received_bytes.get() + bytes.len());
         }
     }
 
--- a/tests/slow_endpoints.rs
+++ b/tests/slow_endpoints.rs
@@ -146,3 +146,91 @@
         }
     }
 }
+
+/// Returns the head and the body parts of a response with this many bytes in each part.
+fn response_parts(framing: &str, part_bytes: usize, parts: usize) -> (String, Vec<Vec<u8>>) {
+    let data = vec![b'd'; part_bytes];
+    let header = match framing {
+        "length" => format!("Content-Length: {}", part_bytes * parts),
+        "chunked" => "Transfer-Encoding: chunked".to_owned(),
+        _ => "Connection: close".to_owned(),
+    };
+    let part = match framing {
+        "chunked" => [format!("{part_bytes:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
+        _ => data,
+    };
+    let mut parts = vec![part; parts];
+    if framing == "chunked" {
+        parts.push(b"0\r\n\r\n".to_vec());
+    }
+    (format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n"), parts)
+}
+
+/// Starts an endpoint that writes a response in parts, with a pause before each but the first.
+fn start_slow_writer(framing: &'static str, part_bytes: usize, parts: usize, pause: Duration) -> RawEndpoint {
+    RawEndpoint::start(move |mut socket| {
+        if !read_past_head(&mut socket) {
+            return;
+        }
+        let (head, parts) = response_parts(framing, part_bytes, parts);
+        let _ = socket.write_all(head.as_bytes());
+        for (number, part) in parts.iter().enumerate() {
+            if number > 0 {
+                thread::sleep(pause);
+            }
+            let _ = socket.write_all(part);
+        }
+    })
+}
+
+/// Returns the number of body bytes that a client receives until the gateway closes the connection.
+fn received_body_bytes(gateway: SocketAddr, request: &TestRequest) -> usize {
+    let mut client = Client::connect(gateway);
+    client.send(&request.clone().with_header("Connection", "close"));
+    let received = client.read_until_closed();
+    let is_complete = !received.contains("chunked") || received.ends_with("0\r\n\r\n");
+    if is_complete { received.bytes().filter(|byte| *byte == b'd').count() } else { 0 }
+}
+
+/// Guards against a long response that is cut off while its endpoint still writes it, long after the client's wait.
+#[test]
+fn long_response_that_endpoint_writes_slowly_is_not_cut_off() {
+    let cases = [(10_000, 30, Duration::from_millis(100)), (20_000, 5, Duration::from_millis(1500))];
+    thread::scope(|scope| {
+        for framing in ["length", "chunked", "close"] {
+            for (part_bytes, parts, pause) in cases {
+                scope.spawn(move || {
+                    let endpoint = start_slow_writer(framing, part_bytes, parts, pause);
+                    let (builder, _discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+                    let node = builder.start();
+                    let request = TestRequest::new("slow").with_header("X-Remaining", WAIT_HEADER);
+                    // The head names the framing, whose letters count as well.
+                    let letters = "HTTP/1.1 200 OK Transfer-Encoding: chunked".matches('d').count();
+                    let received = received_body_bytes(node.addr, &request);
+                    let body_bytes = part_bytes * parts;
+                    assert!(
+                        (body_bytes..=body_bytes + letters).contains(&received),
+                        "{framing}, pauses of {pause:?}: {received} of {body_bytes} bytes"
+                    );
+                });
+            }
+        }
+    });
+}
+
+/// Guards against a response that is given up because its endpoint writes the head slowly, though there is time left.
+#[test]
+fn response_with_head_written_slowly_is_delivered() {
+    let endpoint = RawEndpoint::start(|mut socket| {
+        if read_past_head(&mut socket) {
+            for byte in b"HTTP/1.1 200 OK\r\nX-Other: filler\r\nContent-Length: 2\r\n\r\nok" {
+                let _ = socket.write_all(&[*byte]);
+                thread::sleep(Duration::from_millis(30));
+            }
+        }
+    });
+    let (builder, _discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+    let node = builder.start();
+    let request = TestRequest::new("slow").with_header("X-Remaining", "3.000");
+    assert_eq!(node.send_request(&request).body, b"ok");
+}
