Test a truncated upload both after its attempt has begun and before

Since the gateway reads ahead while an upload waits for its attempt, it sees the end of the input of a client that leaves at once before an attempt opens a connection, and sends nothing.

--- a/tests/streaming.rs
+++ b/tests/streaming.rs
@@ -204,13 +204,20 @@
     request.body = numbered_text(800_000).into_bytes();
     let mut client = node.connect();
     client.send(&request);
+    // Until the attempt has begun to send the body: the gateway sends nothing at all for a client that leaves before.
+    std::thread::sleep(std::time::Duration::from_millis(300));
     client.reader.get_ref().shutdown(Shutdown::Write).expect("a socket");
     let mut received = Vec::new();
     let _ = client.reader.read_to_end(&mut received);
     assert!(received.is_empty(), "no response to a disconnected client");
     endpoint.wait_for_event(|event| matches!(event, EndpointEvent::ConnectionEnded(_)));
     assert!(endpoint.drain_requests().is_empty(), "no complete request arrived");
+    let mut early_client = node.connect();
+    early_client.send(&request.with_header("X-Txn", "cut-at-once"));
+    early_client.reader.get_ref().shutdown(Shutdown::Write).expect("a socket");
+    assert_eq!(early_client.read_until_closed(), "", "no response to a disconnected client");
     assert_eq!(node.send_request(&TestRequest::at_most_once("next")).status(), 200);
+    assert_eq!(endpoint.drain_requests().len(), 1, "only the next request arrived");
 }
 
 #[test]
