Yield to other connections between pipelined requests

Cause: the task of a connection goes on with the next buffered request until the runtime's budget of 128 socket operations is used up, so each step of another request waited for up to 128 requests of the flood.

The connection now yields after each response while more input is buffered.

--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -17,7 +17,7 @@
     },
 };
 use hyper::StatusCode;
-use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio::{io::AsyncWriteExt, net::TcpStream, task::yield_now};
 
 /// Path of the health check for load balancers in front of the gateway.
 const HEALTH_CHECK_PATH: &str = "/up";
@@ -58,6 +58,10 @@
             }
             self.socket.release_empty_buffer();
             self.socket.state.enter(Stage::Idle);
+            if !self.socket.buffer.is_empty() {
+                // Other connections come before a client that does not wait for its responses.
+                yield_now().await;
+            }
         }
     }
 
