--- a/src/node/wire/request_body.rs
+++ b/src/node/wire/request_body.rs
@@ -1,7 +1,7 @@
 //! Decodes the bodies of HTTP/1.1 requests from a buffer, with a known length or in chunks.
 
 use crate::node::wire::limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use hyper::StatusCode;
 use thiserror::Error;
 
@@ -148,9 +148,11 @@
                     };
                 }
                 ChunkPosition::Data { remaining } => {
-                    let part = split_data(buffer, *remaining, max_output.saturating_sub(output.len()));
-                    output.extend_from_slice(&part);
-                    *remaining -= part.len();
+                    let free = max_output.saturating_sub(output.len());
+                    let length = buffer.len().min(*remaining).min(free);
+                    output.extend_from_slice(&buffer[..length]);
+                    buffer.advance(length);
+                    *remaining -= length;
                     if *remaining > 0 {
                         return Ok(false);
                     }
@@ -160,9 +162,10 @@
                     if buffer.len() < 2 {
                         return Ok(false);
                     }
-                    if buffer.split_to(2) != b"\r\n"[..] {
+                    if buffer[..2] != b"\r\n"[..] {
                         return Err(BodyError::MissingChunkEnd);
                     }
+                    buffer.advance(2);
                     self.position = ChunkPosition::Size;
                 }
                 ChunkPosition::Trailers { length } => {
@@ -184,7 +187,7 @@
 fn take_chunk_size(buffer: &mut BytesMut) -> Result<Option<usize>, BodyError> {
     match httparse::parse_chunk_size(buffer).map_err(|_| BodyError::MalformedChunkSize)? {
         httparse::Status::Complete((line_length, size)) => {
-            let _ = buffer.split_to(line_length);
+            buffer.advance(line_length);
             Ok(Some(usize::try_from(size).unwrap_or(usize::MAX)))
         }
         httparse::Status::Partial if buffer.len() > MAX_CHUNK_LINE_BYTES => {
