Tell endpoints the time that is left when their connection is open

Cause: the value of X-Remaining was fixed when the attempt started. The test frees a full backlog after 0.4 s: 3 s told before, with 2.6 s left. Now the time since the start is taken off when the request is built for the open connection. The test fails without the change and passes with it.

--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -17,7 +17,10 @@
 };
 use hyper::{HeaderMap, Request, Response, StatusCode, http::response::Parts};
 use oliverack::{LoadReport, Status};
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{sync::mpsc, time::sleep};
 
 /// Limits of buffered responses. A longer one, or one of unknown length that takes longer, is streamed.
@@ -73,13 +76,14 @@
     target: &'a Target,
     upstream: &'a UpstreamRequest,
     timeout_seconds: f64,
+    started_at: Instant,
     progress: &'a WriteProgressHandle,
     request: &'a R,
 }
 
 impl EndpointPool {
     /// Sends a request to an endpoint once, if it may still be sent when the connection is open. The request tells the
-    /// endpoint that the gateway waits for `timeout_seconds`; the caller enforces this timeout.
+    /// endpoint how much is left then of the `timeout_seconds` that the gateway waits; the caller enforces this timeout.
     ///
     /// A response beyond the buffer limits goes to a stream of `request`. `progress` shows how much of the request has
     /// been written.
@@ -94,7 +98,9 @@
         if !upstream.body.is_available() {
             return AttemptResult::without_response(Status::NotSent);
         }
-        let attempt = EndpointAttempt { pool: self, target, upstream, timeout_seconds, progress, request };
+        let started_at = Instant::now();
+        let attempt =
+            EndpointAttempt { pool: self, target, upstream, timeout_seconds, started_at, progress, request };
         match attempt.run().await {
             Ok(response) => AttemptResult::from_response(response),
             Err(status) => AttemptResult::without_response(status),
@@ -152,7 +158,8 @@
             return Err(Status::NotSent);
         }
         // A streamed body that was given to an earlier connection can't be sent on another one.
-        self.upstream.build_attempt_request(self.timeout_seconds).ok_or(Status::ConnectFailed)
+        let remaining_seconds = self.timeout_seconds - self.started_at.elapsed().as_secs_f64();
+        self.upstream.build_attempt_request(remaining_seconds.max(0.0)).ok_or(Status::ConnectFailed)
     }
 }
 
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -150,6 +150,24 @@
     assert!(endpoint.next_request().1.body == upload.body, "unchanged");
 }
 
+/// Guards against an attempt that tells its endpoint more time than the client has left, because the connection took some.
+#[test]
+fn endpoint_is_told_the_time_that_is_left_when_connection_opens() {
+    const CONNECTION_TIME: Duration = Duration::from_millis(400);
+    const SLACK_SECONDS: f64 = 0.15;
+    let SaturatedGateway { saturated, node: _node, mut client, .. } = SaturatedGateway::new();
+    client.send(&TestRequest::new("late").with_header("X-Remaining", "3.000"));
+    let sent_at = Instant::now();
+    saturated.wait_for_pending_connections(1);
+    std::thread::sleep(CONNECTION_TIME);
+    let endpoint = saturated.into_endpoint(EndpointBehaviour::Respond("ok"));
+    assert_eq!(client.read_response().expect("a complete response").status(), 200);
+    let told: f64 = endpoint.next_request().1.header("x-remaining").parse().expect("a number of seconds");
+    // The connection opens some time after the backlog is free, so the client has even less left.
+    let left = 3.0 - CONNECTION_TIME.as_secs_f64();
+    assert!(told <= left + SLACK_SECONDS, "{told} s told, {left} s left after {:?}", sent_at.elapsed());
+}
+
 #[test]
 fn request_followed_by_close_is_not_forwarded() {
     let saturated = SaturatedListener::start();
