--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -5,7 +5,6 @@
 use fakes::{Client, LaunchOptions, Node, NodeBuilder, RawEndpoint, TestRequest, read_message};
 use serde_json::json;
 use std::{
-    fs,
     io::{BufReader, Read, Write},
     net::SocketAddr,
     thread,
@@ -32,13 +31,6 @@
     builder.start_with_config(&config.to_string(), &LaunchOptions::default())
 }
 
-/// Returns the memory that the gateway holds for itself, without files and shared libraries, in bytes.
-fn memory_bytes(node: &Node) -> usize {
-    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the memory");
-    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") << 10
-}
-
 /// What one client of a crowd does with its connection.
 type ClientBehaviour = fn(&mut Client, usize);
 
@@ -55,7 +47,7 @@
         let started_at = Instant::now();
         let mut most_memory = 0;
         while started_at.elapsed() < STAY {
-            most_memory = most_memory.max(memory_bytes(&node));
+            most_memory = most_memory.max(node.memory_bytes().expect("a process"));
             thread::sleep(LOOK_INTERVAL);
         }
         most_memory
--- a/tests/fakes/node.rs
+++ b/tests/fakes/node.rs
@@ -155,6 +155,14 @@
         }
     }
 
+    /// Returns the memory that the process holds for itself, without files and shared libraries, in bytes. `None` once it
+    /// has ended.
+    pub fn memory_bytes(&self) -> Option<usize> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+        Some(line.split_whitespace().next()?.parse::<usize>().ok()? << 10)
+    }
+
     /// Opens a client connection.
     pub fn connect(&self) -> Client {
         Client::connect(self.addr)
--- a/tests/flooding_client.rs
+++ b/tests/flooding_client.rs
@@ -2,10 +2,9 @@
 //! and the memory stays bounded.
 
 mod fakes;
-use fakes::{Client, EndpointBehaviour, FakeEndpoint, LaunchOptions, Node, NodeBuilder, TestRequest};
+use fakes::{Client, EndpointBehaviour, FakeEndpoint, LaunchOptions, NodeBuilder, TestRequest};
 use serde_json::json;
 use std::{
-    fs,
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
@@ -101,13 +100,6 @@
     }
 }
 
-/// Returns the memory that the gateway holds for itself, in bytes.
-fn memory_bytes(node: &Node) -> usize {
-    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the memory");
-    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") << 10
-}
-
 /// What other clients saw during a flood, and the memory of the gateway.
 #[derive(Debug, Default)]
 struct FloodReport {
@@ -149,7 +141,7 @@
         } else {
             report.not_served.push(status);
         }
-        report.most_memory = report.most_memory.max(memory_bytes(&node));
+        report.most_memory = report.most_memory.max(node.memory_bytes().expect("a process"));
         thread::sleep(REQUEST_INTERVAL);
     }
     is_over.store(true, Ordering::Relaxed);
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -4,7 +4,6 @@
 use fakes::{Client, EndpointBehaviour, FakeEndpoint, LaunchOptions, Node, NodeBuilder, TestRequest};
 use serde_json::json;
 use std::{
-    fs,
     io::{BufRead, Write},
     net::SocketAddr,
     thread,
@@ -50,13 +49,6 @@
     client
 }
 
-/// Returns the memory that the gateway holds for itself, without files and shared libraries.
-fn memory_bytes(node: &Node) -> usize {
-    let status = fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("the memory");
-    line.split_whitespace().next().and_then(|kb| kb.parse::<usize>().ok()).expect("a number") << 10
-}
-
 /// Returns the status of the next response without reading its body; `None` if the connection ends before.
 fn read_status(client: &mut Client) -> Option<u16> {
     let mut line = String::new();
@@ -84,11 +76,11 @@
             _ => panic!("{status:?} for client {}", clients.len()),
         }
         thread::sleep(CLIENT_INTERVAL);
-        most_memory = most_memory.max(memory_bytes(&node));
+        most_memory = most_memory.max(node.memory_bytes().expect("a process"));
     }
     for _ in 0..50 {
         thread::sleep(LOOK_INTERVAL);
-        most_memory = most_memory.max(memory_bytes(&node));
+        most_memory = most_memory.max(node.memory_bytes().expect("a process"));
     }
     assert!(most_memory <= MEMORY_MB << 20, "{most_memory} bytes");
     endpoint.set_behaviour(EndpointBehaviour::WriteRaw(chunked_response(100_000)));
@@ -144,7 +136,7 @@
         assert_eq!(client.send_request(&upload).status(), 200);
     }
     // A quarter of the limit is for bodies, and the gateway has none now.
-    let idle_memory = memory_bytes(&node);
+    let idle_memory = node.memory_bytes().expect("a process");
     assert!(idle_memory <= 8 << 20, "{idle_memory} bytes");
 }
 
@@ -177,13 +169,13 @@
         .map(|_| {
             let mut client = node.connect();
             let _ = client.reader.get_mut().write_all(incomplete_head.as_bytes());
-            most_memory = most_memory.max(memory_bytes(&node));
+            most_memory = most_memory.max(node.memory_bytes().expect("a process"));
             client
         })
         .collect();
     for _ in 0..20 {
         thread::sleep(LOOK_INTERVAL);
-        most_memory = most_memory.max(memory_bytes(&node));
+        most_memory = most_memory.max(node.memory_bytes().expect("a process"));
     }
     assert!(most_memory <= MEMORY_MB << 20, "{most_memory} bytes");
     for mut client in stalled_clients {
--- /dev/null
+++ b/tests/soak/endpoints.rs
@@ -0,0 +1,167 @@
+//! Endpoints with seeded faults.
+
+use crate::{
+    fakes::{RawEndpoint, read_at_rate},
+    record::{Attempt, Record},
+};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time for which an endpoint holds a connection that it does not serve.
+const HOLD_TIME: Duration = Duration::from_secs(8);
+
+/// What an endpoint does with a request. The names stand in messages.
+const BEHAVIOURS: [&str; 16] = [
+    "served",
+    "served",
+    "served",
+    "served",
+    "served",
+    "served",
+    "served slowly",
+    "served long",
+    "written slowly",
+    "head, then silence",
+    "half a body, then silence",
+    "silent",
+    "reads slowly",
+    "stops reading",
+    "closes",
+    "turned away",
+];
+
+/// Endpoint that decides by the seed and the request's id what it does.
+pub struct SoakEndpoint {
+    pub addr: SocketAddr,
+    _endpoint: RawEndpoint,
+}
+
+impl SoakEndpoint {
+    pub fn start(seed: u64, record: Arc<Record>) -> Self {
+        let endpoint = RawEndpoint::start(
+            move |mut socket| {
+                while serve_request(&mut socket, seed, &record).is_some() {}
+            },
+        );
+        Self { addr: endpoint.addr, _endpoint: endpoint }
+    }
+}
+
+/// Serves one request; returns `None` if the connection must end.
+fn serve_request(socket: &mut TcpStream, seed: u64, record: &Record) -> Option<()> {
+    let mut head = vec![0];
+    socket.read_exact(&mut head).ok()?;
+    let begun_at = Instant::now();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        socket.read_exact(&mut byte).ok()?;
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let header = |name: &str| {
+        let line = head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "));
+        line.map(str::to_owned)
+    };
+    let id = header("x-txn")?;
+    let behaviour = behaviour(seed, &id, begun_at);
+    let mut attempt = Attempt { begun_at, run_at: None, behaviour };
+    let body = match behaviour {
+        "stops reading" => {
+            thread::sleep(HOLD_TIME);
+            None
+        }
+        "reads slowly" => read_body_slowly(socket, &header),
+        _ => read_body(socket, &header),
+    };
+    // A request that is turned away never runs.
+    attempt.run_at = (body.is_some() && behaviour != "turned away").then(Instant::now);
+    record.add_attempt(&id, attempt);
+    body?;
+    respond(socket, behaviour)
+}
+
+/// Chooses the behaviour for an attempt. Retries of a request may meet another one.
+fn behaviour(seed: u64, id: &str, begun_at: Instant) -> &'static str {
+    let mut hasher = DefaultHasher::new();
+    (seed, id).hash(&mut hasher);
+    // A retry comes later and must not always meet the same fault.
+    let retry_salt = begun_at.elapsed().subsec_nanos() % 2;
+    BEHAVIOURS[((hasher.finish() + u64::from(retry_salt)) % BEHAVIOURS.len() as u64) as usize]
+}
+
+fn read_body(socket: &mut TcpStream, header: &impl Fn(&str) -> Option<String>) -> Option<()> {
+    if let Some(length) = header("content-length") {
+        let mut body = vec![0; length.parse().ok()?];
+        return socket.read_exact(&mut body).ok();
+    }
+    if header("transfer-encoding").is_none() {
+        return Some(());
+    }
+    let mut tail = [0; 5];
+    while tail != *b"0\r\n\r\n" {
+        let mut byte = [0];
+        socket.read_exact(&mut byte).ok()?;
+        tail.rotate_left(1);
+        tail[4] = byte[0];
+    }
+    Some(())
+}
+
+fn read_body_slowly(socket: &mut TcpStream, header: &impl Fn(&str) -> Option<String>) -> Option<()> {
+    let is_long = header("transfer-encoding").is_some()
+        || header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0) > 60_000;
+    if !is_long {
+        return read_body(socket, header);
+    }
+    // Such a body is never read to its end in time.
+    read_at_rate(socket, 100_000);
+    None
+}
+
+/// Responds with a fault or without; returns `None` if the connection must end.
+fn respond(socket: &mut TcpStream, behaviour: &'static str) -> Option<()> {
+    let sized = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    match behaviour {
+        "served slowly" => thread::sleep(Duration::from_millis(150)),
+        "served long" => {
+            socket.write_all(sized(400_000).as_bytes()).ok()?;
+            return socket.write_all(&vec![b'd'; 400_000]).ok();
+        }
+        "written slowly" => {
+            socket.write_all(sized(200_000).as_bytes()).ok()?;
+            for _ in 0..10 {
+                socket.write_all(&[b'd'; 20_000]).ok()?;
+                thread::sleep(Duration::from_millis(100));
+            }
+            return Some(());
+        }
+        "head, then silence" => {
+            socket.write_all(sized(300_000).as_bytes()).ok()?;
+            thread::sleep(HOLD_TIME);
+            return None;
+        }
+        "half a body, then silence" => {
+            socket.write_all(sized(300_000).as_bytes()).ok()?;
+            socket.write_all(&[b'd'; 100_000]).ok()?;
+            thread::sleep(HOLD_TIME);
+            return None;
+        }
+        "silent" => {
+            thread::sleep(HOLD_TIME);
+            return None;
+        }
+        "closes" => return None,
+        "turned away" => {
+            let rejection = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+            return socket.write_all(rejection).ok();
+        }
+        _ => thread::sleep(Duration::from_millis(5)),
+    }
+    socket.write_all((sized(2) + "ok").as_bytes()).ok()
+}
--- /dev/null
+++ b/tests/soak/record.rs
@@ -0,0 +1,164 @@
+//! What clients and endpoints saw, and the rules that it must keep.
+
+use std::{
+    collections::HashMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+/// Time after a client's wait at which a request without an answer is lost, with the 50 ms by which all limits are
+/// longer on sockets.
+const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(550);
+/// Time after a client's close from which on no attempt may begin.
+const CLOSE_LIMIT: Duration = Duration::from_millis(100);
+/// Time for which endpoints drop repeats by an idempotency key.
+pub const KEY_WINDOW: Duration = Duration::from_millis(1500);
+
+/// Effect of running a request again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Effect {
+    Idempotent,
+    Keyed,
+    AtMostOnce,
+}
+
+/// What a client saw of one request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// The first bytes of an answer with this status arrived.
+    Answered(u16),
+    /// The gateway closed the connection without an answer. A client that used the connection before sends the request
+    /// once more.
+    Closed {
+        /// True if the connection had carried a request before.
+        is_reused: bool,
+    },
+    /// Nothing came for as long as the client listened.
+    Silent,
+    /// The client left.
+    Left,
+}
+
+/// One request of a client.
+#[derive(Debug, Clone)]
+pub struct ClientEvent {
+    pub id: String,
+    pub effect: Effect,
+    pub wait: Duration,
+    /// Time at which the last byte was written; `None` if it never was.
+    pub written_at: Option<Instant>,
+    pub outcome: Outcome,
+    pub ended_at: Instant,
+    /// What the request looked like, for messages.
+    pub form: String,
+}
+
+impl ClientEvent {
+    /// Returns a description for messages.
+    fn describe(&self) -> String {
+        let Self { id, effect, wait, outcome, form, .. } = self;
+        format!("{id} ({effect:?}, wait {wait:?}, {form}, {outcome:?})")
+    }
+}
+
+/// One attempt at an endpoint.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub begun_at: Instant,
+    /// Time at which the request was complete and began to run; `None` if it never did.
+    pub run_at: Option<Instant>,
+    /// What the endpoint did, for messages.
+    pub behaviour: &'static str,
+}
+
+/// Everything that clients and endpoints saw in one run.
+#[derive(Default)]
+pub struct Record {
+    requests: Mutex<Vec<ClientEvent>>,
+    attempts: Mutex<HashMap<String, Vec<Attempt>>>,
+}
+
+impl Record {
+    pub fn add_request(&self, event: ClientEvent) {
+        self.requests.lock().expect("not poisoned").push(event);
+    }
+
+    pub fn add_attempt(&self, id: &str, attempt: Attempt) {
+        self.attempts.lock().expect("not poisoned").entry(id.to_owned()).or_default().push(attempt);
+    }
+
+    /// Returns the number of requests by outcome.
+    pub fn summary(&self) -> String {
+        let requests = self.requests.lock().expect("not poisoned");
+        let count = |matches: fn(&Outcome) -> bool| {
+            requests.iter().filter(|request| matches(&request.outcome)).count()
+        };
+        format!(
+            "{} requests, {} served, {} rejected, {} failed, {} closed on, {} silent, {} left",
+            requests.len(),
+            count(|outcome| *outcome == Outcome::Answered(200)),
+            count(|outcome| matches!(outcome, Outcome::Answered(429 | 503))),
+            count(
+                |outcome| matches!(outcome, Outcome::Answered(status) if ![200, 429, 503].contains(status))
+            ),
+            count(|outcome| matches!(outcome, Outcome::Closed { .. })),
+            count(|outcome| *outcome == Outcome::Silent),
+            count(|outcome| *outcome == Outcome::Left),
+        )
+    }
+
+    /// Returns the rules that were broken, one line each.
+    pub fn violations(&self) -> Vec<String> {
+        let requests = self.requests.lock().expect("not poisoned");
+        let attempts = self.attempts.lock().expect("not poisoned");
+        let mut violations: Vec<String> = requests.iter().filter_map(lost_request).collect();
+        let mut by_id: HashMap<&str, Vec<&ClientEvent>> = HashMap::new();
+        for request in requests.iter() {
+            by_id.entry(&request.id).or_default().push(request);
+        }
+        for (id, events) in by_id {
+            let Some(attempts) = attempts.get(id) else { continue };
+            violations.extend(repeated_request(events[0], attempts));
+            violations.extend(abandoned_request(&events, attempts));
+        }
+        violations
+    }
+}
+
+fn lost_request(request: &ClientEvent) -> Option<String> {
+    let written_at = request.written_at?;
+    let elapsed = request.ended_at - written_at.min(request.ended_at);
+    let is_lost = match request.outcome {
+        Outcome::Answered(_) => elapsed > request.wait + LATE_ANSWER_LIMIT,
+        Outcome::Closed { is_reused } => !is_reused,
+        Outcome::Silent => true,
+        Outcome::Left => false,
+    };
+    is_lost.then(|| format!("lost: {} ended {elapsed:?} after the last byte", request.describe()))
+}
+
+/// Checks that a request ran at most once, or again only while endpoints drop repeats.
+fn repeated_request(request: &ClientEvent, attempts: &[Attempt]) -> Option<String> {
+    let mut runs: Vec<Instant> = attempts.iter().filter_map(|attempt| attempt.run_at).collect();
+    runs.sort();
+    let (first, last) = (*runs.first()?, *runs.last()?);
+    let is_repeated = match request.effect {
+        Effect::Idempotent => false,
+        Effect::AtMostOnce => runs.len() > 1,
+        Effect::Keyed => last - first > KEY_WINDOW,
+    };
+    let behaviours: Vec<&str> = attempts.iter().map(|attempt| attempt.behaviour).collect();
+    is_repeated.then(|| {
+        let (runs, time) = (runs.len(), last - first);
+        format!("duplicate: {runs} runs in {time:?} of {}, endpoints {behaviours:?}", request.describe())
+    })
+}
+
+/// Checks that no attempt began after the client had left for good.
+fn abandoned_request(events: &[&ClientEvent], attempts: &[Attempt]) -> Option<String> {
+    let has_left = events.iter().all(|event| event.outcome == Outcome::Left);
+    let left_at = events.iter().map(|event| event.ended_at).max().filter(|_| has_left)?;
+    let late = attempts.iter().find(|attempt| attempt.begun_at > left_at + CLOSE_LIMIT)?;
+    let delay = late.begun_at - left_at;
+    Some(format!("abandoned: an attempt {delay:?} after the close of {}", events[0].describe()))
+}
