Discard no pipelined requests while memory is short

A client that sends further requests behind an open one got no answer to them while half of the memory for bodies was in use: the connection stayed open and silent.

The new test fails without the change (no response to the second of three requests) and passes with it; the other tests of slow_clients, abandoned_requests, race_conditions, unread_body and streaming pass.

--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -56,8 +56,10 @@
 enum ReadAhead {
     /// The client has closed or reset the connection.
     Disconnected,
-    /// The buffer holds as much as it may, or memory is short.
+    /// The buffer holds as much as it may, or input was discarded before.
     LimitReached,
+    /// There is no memory to read more.
+    MemoryShort,
 }
 
 /// Meaning of a wake-up by [`ConnectionState::close_signal`].
@@ -167,24 +169,33 @@
 
     /// Waits until the client has disconnected, after it has sent its request. Meanwhile reads received bytes into the
     /// buffer, because the end of the input would go unnoticed behind them. Beyond a limit discards them: a client that
-    /// sends so much behind its request does not wait for the responses, as it should.
+    /// sends so much behind its request does not wait for the responses, as it should. While memory is short, reads
+    /// nothing.
     ///
     /// Cancel safe: the bytes that were read stay in the buffer, or the connection is marked.
     pub async fn wait_for_disconnect(&mut self) {
-        if self.read_ahead(MAX_BUFFER_BYTES_WITH_HEADROOM).await == ReadAhead::Disconnected {
-            return;
+        match self.read_ahead(MAX_BUFFER_BYTES_WITH_HEADROOM).await {
+            ReadAhead::Disconnected => {}
+            ReadAhead::LimitReached => self.discard_until_disconnect().await,
+            ReadAhead::MemoryShort => wait_for_peer_close(&self.tcp).await,
         }
+    }
+
+    /// Discards the buffer and all input until the client has disconnected.
+    async fn discard_until_disconnect(&mut self) {
         loop {
             tokio::select! {
                 biased;
                 () = wait_for_peer_close(&self.tcp) => return,
                 ready = self.tcp.readable() => if ready.is_err() { return },
             }
-            self.release_buffer();
             let mut discarded = [0; DISCARD_READ_BYTES];
             match self.tcp.try_read(&mut discarded) {
                 Ok(0) => return,
-                Ok(_) => self.is_input_discarded = true,
+                Ok(_) => {
+                    self.is_input_discarded = true;
+                    self.release_buffer();
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
@@ -208,7 +219,10 @@
     /// Reads received bytes into the buffer until the client has disconnected or the buffer holds `max_bytes`, or memory
     /// is short.
     async fn read_ahead(&mut self, max_bytes: usize) -> ReadAhead {
-        while self.can_read_ahead(max_bytes) {
+        while !self.is_input_discarded && self.buffer.len() + MAX_FRAME_BYTES <= max_bytes {
+            if !self.context.memory.has_headroom_for(MAX_FRAME_BYTES) {
+                return ReadAhead::MemoryShort;
+            }
             tokio::select! {
                 biased;
                 () = wait_for_peer_close(&self.tcp) => return ReadAhead::Disconnected,
@@ -216,7 +230,7 @@
             }
             let needed = self.buffer.len() + MAX_FRAME_BYTES;
             if self.buffer_memory.extend_to(needed).is_none() {
-                return ReadAhead::LimitReached;
+                return ReadAhead::MemoryShort;
             }
             self.buffer.reserve(MAX_FRAME_BYTES);
             match self.tcp.try_read_buf(&mut self.buffer) {
@@ -229,12 +243,6 @@
         ReadAhead::LimitReached
     }
 
-    fn can_read_ahead(&self, max_bytes: usize) -> bool {
-        !self.is_input_discarded
-            && self.buffer.len() + MAX_FRAME_BYTES <= max_bytes
-            && self.context.memory.has_headroom_for(MAX_FRAME_BYTES)
-    }
-
     /// Shuts down the sending side. Ignores a failure, because a later read detects the disconnect.
     pub async fn shut_down_sending(&mut self) {
         let _ = self.tcp.shutdown().await;
--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -1,11 +1,12 @@
 //! Clients that take long responses slowly: the gateway stays within its memory limit and answers every request.
 
 mod fakes;
-use fakes::{Client, EndpointBehaviour, FakeEndpoint, LaunchOptions, Node, NodeBuilder, TestRequest};
+use fakes::{Client, EndpointBehaviour, FakeEndpoint, Gate, LaunchOptions, Node, NodeBuilder, TestRequest};
 use serde_json::json;
 use std::{
     io::{BufRead, Write},
     net::SocketAddr,
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -208,3 +209,30 @@
     endpoint.set_behaviour(EndpointBehaviour::WriteRaw(rejection.leak()));
     assert_eq!(node.send_request(&TestRequest::at_most_once("busy")).status(), 429, "the request never ran");
 }
+
+/// Guards against further requests of a client that are discarded because there is no memory to read them ahead.
+#[test]
+fn pipelined_requests_are_answered_while_memory_is_short() {
+    const SLOW_CLIENTS: usize = 120;
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
+    // Its quarter for bodies is more than half used by the slow clients.
+    let node = start_with_memory(&[&endpoint], 16);
+    let mut clients = Vec::new();
+    while clients.len() < SLOW_CLIENTS {
+        let mut client = send_from_slow_client(node.addr, clients.len(), "25.0");
+        if read_status(&mut client) == Some(200) {
+            clients.push(client);
+        }
+    }
+    let gate = Arc::new(Gate::default());
+    endpoint.set_behaviour(EndpointBehaviour::RespondAfter(gate.clone()));
+    let mut client = node.connect();
+    let requests: Vec<u8> = (0..3).flat_map(|i| TestRequest::new(&format!("p{i}")).to_bytes()).collect();
+    client.reader.get_mut().write_all(&requests).expect("an open socket");
+    thread::sleep(LOOK_INTERVAL * 5);
+    gate.open();
+    for i in 0..3 {
+        let response = client.read_response().unwrap_or_else(|| panic!("no response to request {i}"));
+        assert_eq!(response.status(), 200, "request {i}");
+    }
+}
