--- a/src/node/config/mod.rs
+++ b/src/node/config/mod.rs
@@ -43,7 +43,7 @@
 const RECENT_REQUEST_ID_BYTES: usize = 32;
 /// The memory of the process divided by this is the limit for remembering such requests.
 const RECENT_REQUEST_ID_MEMORY_DIVISOR: usize = 64;
-/// Maximum number of such requests; a gateway with 1,024 descriptors ends fewer in ten seconds.
+/// Maximum number of such requests.
 const MAX_RECENT_REQUEST_IDS: usize = 16_384;
 /// The memory of the process divided by this is the maximum length of an endpoint list's text. With 32 MB this is
 /// about 420 bytes for each of 10,000 endpoints; an indented entry has about 300 bytes. While the list is read, the
