--- a/tests/slow_clients.rs
+++ b/tests/slow_clients.rs
@@ -50,6 +50,20 @@
     client
 }
 
+/// Starts a gateway whose memory for bodies, a quarter of its limit, is more than half used by the returned clients.
+fn start_with_short_memory(endpoint: &FakeEndpoint) -> (Node, Vec<Client>) {
+    const SLOW_CLIENTS: usize = 120;
+    let node = start_with_memory(&[endpoint], 16);
+    let mut clients = Vec::new();
+    while clients.len() < SLOW_CLIENTS {
+        let mut client = send_from_slow_client(node.addr, clients.len(), "25.0");
+        if read_status(&mut client) == Some(200) {
+            clients.push(client);
+        }
+    }
+    (node, clients)
+}
+
 /// Returns the status of the next response without reading its body; `None` if the connection ends before.
 fn read_status(client: &mut Client) -> Option<u16> {
     let mut line = String::new();
@@ -192,17 +206,8 @@
 /// Guards against a rejection by an endpoint that counts as a failure because there is no memory to buffer its body.
 #[test]
 fn rejection_with_long_body_counts_while_memory_is_short() {
-    const SLOW_CLIENTS: usize = 120;
     let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
-    // Its quarter for bodies is more than half used by the slow clients.
-    let node = start_with_memory(&[&endpoint], 16);
-    let mut clients = Vec::new();
-    while clients.len() < SLOW_CLIENTS {
-        let mut client = send_from_slow_client(node.addr, clients.len(), "25.0");
-        if read_status(&mut client) == Some(200) {
-            clients.push(client);
-        }
-    }
+    let (node, _slow_clients) = start_with_short_memory(&endpoint);
     let body = ".".repeat(20_000);
     let rejection =
         format!("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -213,17 +218,8 @@
 /// Guards against further requests of a client that are discarded because there is no memory to read them ahead.
 #[test]
 fn pipelined_requests_are_answered_while_memory_is_short() {
-    const SLOW_CLIENTS: usize = 120;
     let endpoint = FakeEndpoint::start(EndpointBehaviour::WriteRaw(chunked_response(LONG_RESPONSE_BYTES)));
-    // Its quarter for bodies is more than half used by the slow clients.
-    let node = start_with_memory(&[&endpoint], 16);
-    let mut clients = Vec::new();
-    while clients.len() < SLOW_CLIENTS {
-        let mut client = send_from_slow_client(node.addr, clients.len(), "25.0");
-        if read_status(&mut client) == Some(200) {
-            clients.push(client);
-        }
-    }
+    let (node, _slow_clients) = start_with_short_memory(&endpoint);
     let gate = Arc::new(Gate::default());
     endpoint.set_behaviour(EndpointBehaviour::RespondAfter(gate.clone()));
     let mut client = node.connect();
