Log what each attempt waited for, and count messages that are cut off

Cause: the operators' logs could not tell a response cut off by the attempt's timeout from one that waited for memory, and no metric showed that any message was cut off. Change: the end of an attempt is logged with the phase of its response (head, awaiting the body, body), the bytes received and the silence since; a response that waits for memory is logged; the metric svc_cut_messages counts by reason the messages that the gateway ends before their end, from endpoints and from clients. The test text_is_the_same_as_in_earlier_versions compares the whole text: the earlier lines stay as they are, and the new ones are compared as exactly after them.

--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -148,7 +148,7 @@
     pub async fn enforce_time_limits(self: Rc<Self>) {
         loop {
             sleep(timeouts::CHECK_INTERVAL).await;
-            timeouts::enforce(&self.connections.borrow());
+            timeouts::enforce(&self.connections.borrow(), &self.context.metrics.cuts);
         }
     }
 
--- a/src/node/connection/clients/timeouts.rs
+++ b/src/node/connection/clients/timeouts.rs
@@ -1,6 +1,9 @@
 //! Time limits of clients' connections. One periodic check of all connections is cheaper than a timer for each.
 
-use crate::node::connection::clients::state::{ConnectionState, ConnectionTable, Stage};
+use crate::node::{
+    connection::clients::state::{ConnectionState, ConnectionTable, Stage},
+    metrics::{CutCounters, CutReason},
+};
 use std::time::Duration;
 
 /// Time between two checks of all connections.
@@ -17,22 +20,30 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Closes or aborts the connections that have exceeded the time limit of their stage.
-pub fn enforce(connections: &ConnectionTable) {
+pub fn enforce(connections: &ConnectionTable, cuts: &CutCounters) {
     for connection in connections.values() {
-        enforce_on_connection(connection);
+        enforce_on_connection(connection, cuts);
     }
 }
 
-fn enforce_on_connection(connection: &ConnectionState) {
+fn enforce_on_connection(connection: &ConnectionState, cuts: &CutCounters) {
     let time_in_stage = connection.entered_at.get().elapsed();
     match connection.stage.get() {
         Stage::ReadingRequest | Stage::ReceivingBody if connection.is_request_overdue() => {
+            if !connection.is_close_requested() {
+                cuts.count(CutReason::RequestOverdue);
+            }
             connection.request_close();
         }
         Stage::Idle if time_in_stage > IDLE_TIMEOUT => connection.request_close(),
-        Stage::WritingResponse if time_in_stage > RESPONSE_TIMEOUT => connection.abort_overdue(),
-        Stage::StreamingResponse if time_in_stage > STREAM_STALL_TIMEOUT => connection.abort_overdue(),
+        Stage::WritingResponse if time_in_stage > RESPONSE_TIMEOUT => cut_response(connection, cuts),
+        Stage::StreamingResponse if time_in_stage > STREAM_STALL_TIMEOUT => cut_response(connection, cuts),
         Stage::Closing if time_in_stage > LINGER_TIMEOUT => connection.abort_overdue(),
         _ => {}
     }
 }
+
+fn cut_response(connection: &ConnectionState, cuts: &CutCounters) {
+    cuts.count(CutReason::ClientStalled);
+    connection.abort_overdue();
+}
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -8,6 +8,7 @@
         response_body::{BodySink, BufferLimits, BufferedBody},
         write_progress::WriteProgressHandle,
     },
+    metrics::CutReason,
     wire::{
         client_request::UpstreamRequest,
         limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES},
@@ -147,6 +148,10 @@
                     }
                     return Err(Status::Reset);
                 }
+                ExchangeError::Stalled => {
+                    self.pool.cuts.count(CutReason::EndpointStalled);
+                    return Err(Status::Reset);
+                }
             }
         }
     }
--- a/src/node/connection/endpoint_pool.rs
+++ b/src/node/connection/endpoint_pool.rs
@@ -2,6 +2,7 @@
 
 use crate::node::{
     connection::{body_memory::BodyMemory, http_connection::HttpConnection, idle_limit::IdleLimit},
+    metrics::{CutCounters, Metrics},
     wire::endpoint_list::ListedEndpoint,
 };
 use fnv::FnvHashMap;
@@ -70,6 +71,8 @@
     connect_timeout: Duration,
     /// Number of attempts whose request was written completely.
     pub(super) dispatches: Rc<Cell<u64>>,
+    /// Counts of the messages that were cut off.
+    pub(super) cuts: Rc<CutCounters>,
     /// Budget for the bodies of responses.
     pub(super) body_memory: Rc<BodyMemory>,
 }
@@ -89,7 +92,7 @@
         max_connections: usize,
         endpoint_idle_timeout: Duration,
         connect_timeout: Duration,
-        dispatches: Rc<Cell<u64>>,
+        metrics: &Metrics,
         body_memory: Rc<BodyMemory>,
     ) -> Self {
         let max_idle = endpoint_idle_timeout.saturating_sub(IDLE_LIMIT_MARGIN).max(endpoint_idle_timeout / 2);
@@ -102,7 +105,8 @@
             process_max_connections: Cell::new(max_connections),
             idle_limit: IdleLimit::new(max_idle),
             connect_timeout,
-            dispatches,
+            dispatches: metrics.dispatches.clone(),
+            cuts: metrics.cuts.clone(),
             body_memory,
         }
     }
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -5,7 +5,7 @@
 
 use crate::node::{
     connection::{
-        response_body::{BodySink, BufferLimits, BufferedBody, read_body},
+        response_body::{BodyReader, BodySink, BufferLimits, BufferedBody, ResponseBodyError, read_body},
         socket_input::has_input,
         write_progress::{CountingSocket, WriteProgress},
     },
@@ -18,7 +18,6 @@
 use hyper::{Request, Response, body::Body};
 use hyper_util::rt::TokioIo;
 use std::{
-    cell::Cell,
     future::{Future, poll_fn},
     io,
     net::SocketAddr,
@@ -49,14 +48,19 @@
     /// The request may have run.
     #[error("the request was written, but no complete and valid response was received")]
     NoResponse,
+    /// The request may have run; the gateway gave up the response that had begun.
+    #[error("the endpoint fell silent within the response")]
+    Stalled,
 }
 
 /// Failure of an exchange before it is classified by how much of the request was written.
 enum UnclassifiedFailure {
     /// hyper returned the request unsent.
     RequestReturned,
-    /// The connection failed, or the response was invalid, unwanted or too slow.
+    /// The connection failed, or the response was invalid or unwanted.
     Broken,
+    /// The endpoint fell silent within the response.
+    Stalled,
 }
 
 /// HTTP/1 connection that carries one request at a time.
@@ -118,7 +122,6 @@
         let body_length = request.body().size_hint().exact().map(|length| length as usize);
         self.progress.start_request(body_length, request.body().finished_flag());
         let response = self.sender.try_send_request(request);
-        let has_head = Cell::new(false);
         let response = pin!(async {
             let response = response.await.map_err(|mut error| match error.take_message() {
                 Some(_) => UnclassifiedFailure::RequestReturned,
@@ -127,23 +130,32 @@
                     UnclassifiedFailure::Broken
                 }
             })?;
-            has_head.set(true);
+            self.progress.record_head();
             let (parts, body) = response.into_parts();
+            let body = BodyReader::new(body, self.progress.clone());
             let body = read_body(&parts, body, limits, sink).await;
             let body = body.map_err(|error| {
                 debug!(reason = %error, "response body was not read to its end");
-                UnclassifiedFailure::Broken
+                match error {
+                    ResponseBodyError::Stalled(_) => UnclassifiedFailure::Stalled,
+                    _ => UnclassifiedFailure::Broken,
+                }
             })?;
             Ok(Response::from_parts(parts, body))
         });
-        let result = drive(&mut self.driver, &self.progress, &has_head, response).await;
+        let result = drive(&mut self.driver, &self.progress, response).await;
         result.map_err(|failure| self.classify(&failure))
     }
 
     fn classify(&self, failure: &UnclassifiedFailure) -> ExchangeError {
         let is_returned = matches!(failure, UnclassifiedFailure::RequestReturned);
         if self.progress.is_completely_written() {
-            ExchangeError::NoResponse
+            match failure {
+                UnclassifiedFailure::Stalled => ExchangeError::Stalled,
+                UnclassifiedFailure::Broken | UnclassifiedFailure::RequestReturned => {
+                    ExchangeError::NoResponse
+                }
+            }
         } else if is_returned || self.progress.is_unwritten() {
             ExchangeError::NotWritten
         } else {
@@ -157,7 +169,6 @@
 async fn drive(
     driver: &mut Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
     progress: &WriteProgress,
-    has_head: &Cell<bool>,
     mut response: Pin<&mut impl Future<Output = Result<Response<BufferedBody>, UnclassifiedFailure>>>,
 ) -> Result<Response<BufferedBody>, UnclassifiedFailure> {
     let mut is_closed = false;
@@ -170,7 +181,7 @@
         if let Poll::Ready(result) = response.as_mut().poll(cx) {
             return Poll::Ready(result);
         }
-        if has_head.get() {
+        if progress.has_head() {
             return Poll::Pending;
         }
         if is_closed {
@@ -180,7 +191,7 @@
         if progress.has_response_started() {
             let received_bytes = progress.received_bytes();
             let timer = head_timer.get_or_insert_with(|| HeadTimer::new(received_bytes));
-            return timer.poll(cx, received_bytes).map(|()| Err(UnclassifiedFailure::Broken));
+            return timer.poll(cx, received_bytes).map(|()| Err(UnclassifiedFailure::Stalled));
         }
         Poll::Pending
     })
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -1,7 +1,10 @@
 //! Reads response bodies: short ones into a buffer, long or slow ones as a stream.
 
 use crate::node::{
-    connection::body_memory::{BodyMemory, MemoryPermit},
+    connection::{
+        body_memory::{BodyMemory, MemoryPermit},
+        write_progress::WriteProgress,
+    },
     wire::stream::{BodyFrame, MIN_RESPONSE_FRAME_BYTES},
 };
 use bytes::{Bytes, BytesMut};
@@ -18,6 +21,7 @@
     sync::mpsc,
     time::{sleep, timeout},
 };
+use tracing::debug;
 
 /// Longest wait for the next data of a buffered body. A body that stalls for longer is abandoned, because another
 /// attempt makes better use of the request's remaining time.
@@ -84,6 +88,37 @@
     fn open_stream(&self, length: Option<u64>, memory: MemoryPermit) -> Option<mpsc::Sender<BodyFrame>>;
 }
 
+/// Reads the data of a body and records it as the connection's progress.
+pub struct BodyReader {
+    body: Incoming,
+    progress: Rc<WriteProgress>,
+}
+
+impl BodyReader {
+    /// Creates a reader of the body that arrives on the connection with this progress.
+    pub fn new(body: Incoming, progress: Rc<WriteProgress>) -> Self {
+        Self { body, progress }
+    }
+
+    /// Returns the length of the complete body in bytes; `None` if it is not known in advance.
+    fn length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    /// Waits for the next data of the body. Returns `None` at the end of the body.
+    async fn next_data(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        while let Some(frame) = self.body.frame().await {
+            // A frame without data holds trailers, which are ignored.
+            let data = frame?.into_data().unwrap_or_default();
+            if !data.is_empty() {
+                self.progress.record_body(data.len());
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+}
+
 /// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed. A stream starts only when
 /// memory is free for it and its first data has arrived; the caller limits the wait for either.
 ///
@@ -91,11 +126,11 @@
 /// The body was cut off or stalled, or no stream was opened for it, or the stream's receiver was dropped.
 pub async fn read_body(
     parts: &Parts,
-    mut body: Incoming,
+    mut body: BodyReader,
     limits: BufferLimits,
     sink: &impl BodySink,
 ) -> Result<BufferedBody, ResponseBodyError> {
-    let length = body.size_hint().exact();
+    let length = body.length();
     if length.is_none() && !is_end_detectable(parts) {
         return Err(ResponseBodyError::UnannouncedClose);
     }
@@ -115,7 +150,7 @@
     // Until the first data has arrived another response may still take the place of this one, so the stream is not opened
     // and the caller's time limits hold.
     if beginning.iter().all(Bytes::is_empty) {
-        let Some(data) = next_data(&mut body).await? else { return Ok(BufferedBody::default()) };
+        let Some(data) = body.next_data().await? else { return Ok(BufferedBody::default()) };
         beginning = [data, Bytes::new()];
     }
     let sender = sink.open_stream(length, memory).ok_or(ResponseBodyError::NotStreamed)?;
@@ -123,18 +158,6 @@
     Ok(BufferedBody::default())
 }
 
-/// Waits for the next data of a body. Returns `None` at the end of the body.
-async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
-    while let Some(frame) = body.frame().await {
-        // A frame without data holds trailers, which are ignored.
-        let data = frame?.into_data().unwrap_or_default();
-        if !data.is_empty() {
-            return Ok(Some(data));
-        }
-    }
-    Ok(None)
-}
-
 /// Returns whether the end of a body without a length can be told from a failure. A close of the connection marks the
 /// end only in HTTP/1.0 or if the head announces it.
 fn is_end_detectable(parts: &Parts) -> bool {
@@ -173,20 +196,22 @@
     }
 
     /// Reads the body until it is complete or exceeds the limits.
-    async fn fill(&mut self, body: &mut Incoming, limits: BufferLimits) -> Result<Filled, ResponseBodyError> {
+    async fn fill(
+        &mut self,
+        body: &mut BodyReader,
+        limits: BufferLimits,
+    ) -> Result<Filled, ResponseBodyError> {
         let time_limit = sleep(limits.max_time);
         tokio::pin!(time_limit);
         while limits.can_buffer(self.length) && self.received_bytes <= limits.max_bytes {
-            let frame = tokio::select! {
+            let data = tokio::select! {
                 biased;
-                frame = timeout(BUFFER_STALL_TIMEOUT, body.frame()) => {
-                    frame.map_err(|_| ResponseBodyError::Stalled(BUFFER_STALL_TIMEOUT))?
+                data = timeout(BUFFER_STALL_TIMEOUT, body.next_data()) => {
+                    data.map_err(|_| ResponseBodyError::Stalled(BUFFER_STALL_TIMEOUT))??
                 }
                 () = time_limit.as_mut(), if self.length.is_none() => break,
             };
-            let Some(frame) = frame else { return Ok(Filled::Complete) };
-            // A frame without data holds trailers, which are ignored.
-            let data = frame?.into_data().unwrap_or_default();
+            let Some(data) = data else { return Ok(Filled::Complete) };
             self.received_bytes += data.len();
             if self.is_kept {
                 if self.reserve(data.len()).is_none() {
@@ -224,14 +249,17 @@
     }
     let needed = buffer_bytes + sink.memory()?.response_stream_bytes();
     memory.shrink_to(needed);
-    memory.extend_when_free(needed).await;
+    if memory.extend_to(needed).is_none() {
+        debug!(needed, "response waits for memory");
+        memory.extend_when_free(needed).await;
+    }
     Some(memory)
 }
 
 /// Sends the beginning and the rest of the body to the stream, then marks the stream's end. Reads a frame only when the
 /// channel has room for it.
 async fn stream_body(
-    body: &mut Incoming,
+    body: &mut BodyReader,
     beginning: [Bytes; 2],
     sender: &mpsc::Sender<BodyFrame>,
 ) -> Result<(), ResponseBodyError> {
@@ -240,7 +268,7 @@
     }
     loop {
         let slot = reserve_slot(sender).await?;
-        let data = timeout(STREAM_STALL_TIMEOUT, next_data(body)).await;
+        let data = timeout(STREAM_STALL_TIMEOUT, body.next_data()).await;
         let Some(data) = data.map_err(|_| ResponseBodyError::Stalled(STREAM_STALL_TIMEOUT))?? else {
             slot.send(BodyFrame::End);
             return Ok(());
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -1,4 +1,5 @@
-//! Records how much of a request has been written to a connection, by observing the bytes that go through its socket.
+//! Records how much of a request has been written to a connection and how much of its response has arrived, by observing
+//! the bytes that go through the socket.
 //!
 //! The progress tells whether an attempt may have run, because an endpoint starts to work on a request only after it
 //! has received the last byte.
@@ -9,6 +10,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::{Duration, Instant},
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -28,6 +30,12 @@
     request_length: Cell<Option<usize>>,
     /// Bytes of the final response that have arrived.
     received_bytes: Cell<usize>,
+    /// Time at which bytes of the final response last arrived; `None` before the first ones.
+    last_received_at: Cell<Option<Instant>>,
+    /// True once the head of the final response has arrived completely.
+    has_head: Cell<bool>,
+    /// Bytes of the final response's body that were read.
+    body_bytes: Cell<usize>,
     /// Count to be incremented once the next request is written completely.
     sent_requests: RefCell<Option<Rc<Cell<u64>>>>,
 }
@@ -40,6 +48,9 @@
         self.written_bytes.set(0);
         self.request_length.set(None);
         self.received_bytes.set(0);
+        self.last_received_at.set(None);
+        self.has_head.set(false);
+        self.body_bytes.set(0);
     }
 
     /// Counts the next request in `sent_requests` once it is written completely.
@@ -84,6 +95,37 @@
     fn record_read(&self, bytes: &[u8]) {
         if self.has_response_started() || !bytes.starts_with(b"HTTP/1.1 1") {
             self.received_bytes.set(self.received_bytes.get() + bytes.len());
+            self.last_received_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Records that the head of the final response has arrived completely.
+    pub fn record_head(&self) {
+        self.has_head.set(true);
+    }
+
+    /// Returns whether the head of the final response has arrived completely.
+    pub fn has_head(&self) -> bool {
+        self.has_head.get()
+    }
+
+    /// Records data of the final response's body.
+    pub fn record_body(&self, bytes: usize) {
+        self.body_bytes.set(self.body_bytes.get() + bytes);
+    }
+
+    /// Returns how far the exchange has come.
+    fn state(&self) -> AttemptProgress {
+        if self.body_bytes.get() > 0 {
+            AttemptProgress::ReceivingBody
+        } else if self.has_head() {
+            AttemptProgress::AwaitingBody
+        } else if self.has_response_started() {
+            AttemptProgress::ReceivingHead
+        } else if self.is_completely_written() {
+            AttemptProgress::AwaitingResponse
+        } else {
+            AttemptProgress::Sending
         }
     }
 
@@ -179,8 +221,12 @@
     Sending,
     /// The request is written completely.
     AwaitingResponse,
-    /// Bytes of the response have arrived.
-    ReceivingResponse,
+    /// Bytes of the response's head have arrived.
+    ReceivingHead,
+    /// The response's head has arrived completely, and no data of the body.
+    AwaitingBody,
+    /// Data of the response's body has arrived.
+    ReceivingBody,
 }
 
 /// Handle by which others, such as the attempt's timeout, read a request's progress. Empty until the request has a
@@ -201,13 +247,15 @@
 
     /// Returns how far the attempt has come.
     pub fn state(&self) -> AttemptProgress {
-        if self.has_response_started() {
-            AttemptProgress::ReceivingResponse
-        } else if self.may_have_run() {
-            AttemptProgress::AwaitingResponse
-        } else {
-            AttemptProgress::Sending
-        }
+        self.0.borrow().as_ref().map_or(AttemptProgress::Sending, |progress| progress.state())
+    }
+
+    /// Returns the number of bytes of the final response that have arrived, and the time since the last of them; `None`
+    /// before the first.
+    pub fn received(&self) -> Option<(usize, Duration)> {
+        let progress = self.0.borrow();
+        let progress = progress.as_ref()?;
+        Some((progress.received_bytes(), progress.last_received_at.get()?.elapsed()))
     }
 
     /// Returns whether bytes of the final response have arrived.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -46,6 +46,47 @@
     }
 }
 
+/// Reason for which the gateway ends a message before its end, although the peer's connection is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutReason {
+    /// The time of an attempt was over while its response was arriving.
+    ResponseOverdue,
+    /// An endpoint fell silent within a response.
+    EndpointStalled,
+    /// A client sent its request too slowly, or stopped.
+    RequestOverdue,
+    /// A client stopped reading a response.
+    ClientStalled,
+}
+
+/// Names of the reasons in the metrics, in the order of the output.
+const CUT_REASONS: [(&str, CutReason); 4] = [
+    ("response_overdue", CutReason::ResponseOverdue),
+    ("endpoint_stalled", CutReason::EndpointStalled),
+    ("request_overdue", CutReason::RequestOverdue),
+    ("client_stalled", CutReason::ClientStalled),
+];
+
+/// Counts of the messages that the gateway has cut off, by reason.
+#[derive(Default)]
+pub struct CutCounters([Counter; CUT_REASONS.len()]);
+
+impl CutCounters {
+    /// Counts a message that was cut off.
+    pub fn count(&self, reason: CutReason) {
+        self.0[reason as usize].increment();
+    }
+
+    fn render(&self, text: &mut String) {
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "# TYPE svc_cut_messages counter");
+        for (name, reason) in CUT_REASONS {
+            let value = self.0[reason as usize].get();
+            let _ = writeln!(text, "svc_cut_messages{{reason=\"{name}\"}} {value}");
+        }
+    }
+}
+
 /// Names of the metrics and the outcomes that they count, in the order of the output.
 const OUTCOME_METRICS: [(&str, RequestOutcome); 3] = [
     ("success", RequestOutcome::Served),
@@ -60,13 +101,15 @@
     in_flight: Cell<u64>,
     /// Number of attempts whose request was written to an endpoint completely.
     pub dispatches: Rc<Cell<u64>>,
+    /// Counts of the messages that the gateway has cut off.
+    pub cuts: Rc<CutCounters>,
 }
 
 impl Metrics {
     /// Creates metrics for `class_count` classes, all at 0.
     pub fn new(class_count: usize) -> Rc<Self> {
         let outcomes = (0..class_count).map(|_| OutcomeCounters::default()).collect();
-        Rc::new(Self { outcomes, in_flight: Cell::new(0), dispatches: Rc::default() })
+        Rc::new(Self { outcomes, in_flight: Cell::new(0), dispatches: Rc::default(), cuts: Rc::default() })
     }
 
     /// Counts a request of the class at index `class` as in flight until the guard is dropped.
@@ -86,6 +129,7 @@
         render_value(&mut text, "concurrent", "gauge", self.in_flight.get());
         render_value(&mut text, "targets", "gauge", endpoints.listed as u64);
         render_value(&mut text, "targets_disabled", "gauge", endpoints.avoided as u64);
+        self.cuts.render(&mut text);
         text
     }
 
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -9,6 +9,7 @@
         write_progress::WriteProgressHandle,
     },
     hot_restart::replica_table::ReplicaTable,
+    metrics::{CutCounters, CutReason},
     runtime::{
         clock::Clock,
         open_request::{DeliveryOutcome, InFlightAttempt, OpenRequest},
@@ -50,11 +51,12 @@
     table: Rc<RequestTable>,
     endpoints: Rc<EndpointPool>,
     replicas: Rc<ReplicaTable>,
+    cuts: Rc<CutCounters>,
 }
 
 impl Attempts {
     /// Creates the attempts of the requests in `table`. They are sent through `endpoints`, and `replicas` are notified of
-    /// requests that must not run again.
+    /// requests that must not run again. `cuts` counts the responses that are cut off.
     pub fn new(
         policy: Rc<PolicyLoop>,
         clock: Rc<Clock>,
@@ -62,8 +64,9 @@
         table: Rc<RequestTable>,
         endpoints: Rc<EndpointPool>,
         replicas: Rc<ReplicaTable>,
+        cuts: Rc<CutCounters>,
     ) -> Rc<Self> {
-        Rc::new(Self { policy, clock, timers, table, endpoints, replicas })
+        Rc::new(Self { policy, clock, timers, table, endpoints, replicas, cuts })
     }
 
     /// Starts an attempt. Reports it as not sent if its request no longer waits, its endpoint is unknown or no time is
@@ -180,7 +183,8 @@
         let Some(attempt) = request.take_attempt(number) else { return };
         let endpoint = attempt.endpoint;
         let progress = attempt.write_progress.state();
-        debug!(request = ?request.upstream().transaction_id, attempt = number, %endpoint, reason = ?result.status, ?progress, "attempt ended");
+        let (received_bytes, silence) = attempt.write_progress.received().unzip();
+        debug!(request = ?request.upstream().transaction_id, attempt = number, %endpoint, reason = ?result.status, ?progress, received_bytes, ?silence, "attempt ended");
         if let Some(timer) = attempt.timeout_timer {
             self.timers.cancel(timer);
         }
@@ -222,6 +226,9 @@
             }
             return;
         }
+        if request.attempt_mut(number).is_some_and(|attempt| attempt.write_progress.has_response_started()) {
+            self.cuts.count(CutReason::ResponseOverdue);
+        }
         drop(request);
         self.cancel(request_id, number, Status::Timeout);
     }
--- a/src/node/runtime/driver.rs
+++ b/src/node/runtime/driver.rs
@@ -82,6 +82,7 @@
                 table.clone(),
                 endpoints.clone(),
                 replicas.clone(),
+                metrics.cuts.clone(),
             );
             let requests = Requests::new(
                 policy.clone(),
@@ -208,7 +209,7 @@
         budget,
         Duration::from_secs_f64(config.options.endpoint_idle_timeout),
         Duration::from_secs_f64(config.options.connect_timeout),
-        metrics.dispatches.clone(),
+        metrics,
         body_memory,
     ))
 }
--- a/tests/unit/metrics.rs
+++ b/tests/unit/metrics.rs
@@ -36,6 +36,9 @@
     metrics.request_started(1).end(RequestOutcome::Failed);
     let in_flight = metrics.request_started(0);
     metrics.dispatches.set(4);
+    for reason in [CutReason::ResponseOverdue, CutReason::ClientStalled, CutReason::ResponseOverdue] {
+        metrics.cuts.count(reason);
+    }
     let expected = r#"# TYPE svc_success counter
 svc_success{type="lookup"} 1
 svc_success{type="submit"} 0
@@ -53,6 +56,11 @@
 svc_targets 3
 # TYPE svc_targets_disabled gauge
 svc_targets_disabled 1
+# TYPE svc_cut_messages counter
+svc_cut_messages{reason="response_overdue"} 2
+svc_cut_messages{reason="endpoint_stalled"} 0
+svc_cut_messages{reason="request_overdue"} 0
+svc_cut_messages{reason="client_stalled"} 1
 "#;
     let text = metrics.render(&["lookup".into(), "submit".into()], EndpointCounts { listed: 3, avoided: 1 });
     drop(in_flight);
