--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -22,7 +22,9 @@
 pub use node::{LaunchOptions, Node, spawn_program};
 pub use node_builder::NodeBuilder;
 pub use ports::{ReservedPort, SaturatedListener, count_pending_sockets, wait_for_pending_connections};
-pub use raw_endpoint::{RawEndpoint, read_at_rate, read_past_head};
+pub use raw_endpoint::{
+    PacedPart, RawEndpoint, ResponseFraming, read_at_rate, read_past_head, start_paced_writer,
+};
 pub use temp_dir::TempDir;
 
 use std::time::Duration;
--- a/tests/fakes/raw_endpoint.rs
+++ b/tests/fakes/raw_endpoint.rs
@@ -6,7 +6,7 @@
 };
 use socket2::SockRef;
 use std::{
-    io::Read,
+    io::{Read, Write},
     net::{SocketAddr, TcpStream},
     time::{Duration, Instant},
 };
@@ -63,3 +63,61 @@
     }
     read_bytes
 }
+
+/// Part of a response, and the pause before it.
+#[derive(Debug, Clone)]
+pub struct PacedPart {
+    pub pause: Duration,
+    pub bytes: Vec<u8>,
+}
+
+/// Framing of a response body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseFraming {
+    Length,
+    Chunked,
+    /// The end of the connection ends the body.
+    Close,
+}
+
+impl ResponseFraming {
+    pub const ALL: [Self; 3] = [Self::Length, Self::Chunked, Self::Close];
+
+    /// Returns the head of a successful response with a body of this many bytes.
+    pub fn head(self, body_bytes: usize) -> Vec<u8> {
+        let header = match self {
+            Self::Length => format!("Content-Length: {body_bytes}"),
+            Self::Chunked => "Transfer-Encoding: chunked".to_owned(),
+            Self::Close => "Connection: close".to_owned(),
+        };
+        format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").into_bytes()
+    }
+
+    /// Returns the bytes that carry this data of a body.
+    pub fn frame(self, data: &[u8]) -> Vec<u8> {
+        match self {
+            Self::Chunked => [format!("{:x}\r\n", data.len()).as_bytes(), data, b"\r\n"].concat(),
+            Self::Length | Self::Close => data.to_vec(),
+        }
+    }
+
+    /// Returns the bytes that end a body.
+    pub fn end(self) -> Vec<u8> {
+        if self == Self::Chunked { b"0\r\n\r\n".to_vec() } else { Vec::new() }
+    }
+}
+
+/// Starts an endpoint that writes these parts to each request, and then closes the connection.
+pub fn start_paced_writer(parts: Vec<PacedPart>) -> RawEndpoint {
+    RawEndpoint::start(move |mut socket| {
+        if !read_past_head(&mut socket) {
+            return;
+        }
+        for part in &parts {
+            std::thread::sleep(part.pause);
+            if socket.write_all(&part.bytes).is_err() {
+                return;
+            }
+        }
+    })
+}
--- /dev/null
+++ b/tests/paused_messages.rs
@@ -0,0 +1,108 @@
+//! Peers that pause within a message: the gateway waits for the rest of it as long as the client waits, and cuts it off no
+//! earlier.
+
+mod fakes;
+use fakes::{
+    Client, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming, TestRequest, start_paced_writer,
+};
+use serde_json::json;
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Latency objective of the classes. A later response is worth nothing, so attempts time out shortly before it.
+const LATENCY_OBJECTIVE_SECONDS: f64 = 0.6;
+/// Time for which the clients wait, as in the `X-Remaining` header of [`WAIT_HEADER`].
+const CLIENT_WAIT: Duration = Duration::from_millis(2500);
+const WAIT_HEADER: &str = "2.500";
+/// Pause within a response: longer than the latency objective, far shorter than the wait.
+const PAUSE: Duration = Duration::from_millis(950);
+
+/// Starts a gateway in front of this endpoint, with classes whose responses are worth nothing after the objective.
+fn start_gateway(endpoint: &RawEndpoint) -> Node {
+    let (mut builder, discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+    for class in builder.settings["Classes"].as_array_mut().expect("classes") {
+        class["Slo"] = json!(LATENCY_OBJECTIVE_SECONDS);
+        class["LateWorth"] = json!(0.0);
+    }
+    // Discovery stays up as long as the test.
+    std::mem::forget(discovery);
+    builder.start()
+}
+
+fn requests(id: &str) -> [TestRequest; 2] {
+    [TestRequest::new(&format!("{id}-idempotent")), TestRequest::at_most_once(&format!("{id}-unsafe"))]
+        .map(|request| request.with_header("X-Remaining", WAIT_HEADER))
+}
+
+/// What a client saw of a response.
+#[derive(Debug)]
+struct Answer {
+    /// Status; `None` if the connection ended without a complete answer.
+    status: Option<u16>,
+    body_bytes: usize,
+    wait: Duration,
+}
+
+fn send(gateway: SocketAddr, request: &TestRequest) -> Answer {
+    let started_at = Instant::now();
+    let mut client = Client::connect(gateway);
+    client.send(request);
+    let response = client.read_response();
+    let body_bytes = response.as_ref().map_or(0, |response| response.body.len());
+    Answer { status: response.map(|response| response.status()), body_bytes, wait: started_at.elapsed() }
+}
+
+/// A response that an endpoint writes in parts.
+struct PacedResponse {
+    name: String,
+    body_bytes: usize,
+    parts: Vec<PacedPart>,
+}
+
+/// Sends a request of each class to an endpoint that writes this response. Returns a line for each client that did not
+/// get the complete response.
+fn incomplete_answers(response: PacedResponse) -> Vec<String> {
+    let PacedResponse { name, body_bytes, parts } = response;
+    let endpoint = start_paced_writer(parts);
+    let node = start_gateway(&endpoint);
+    let gateway = node.addr;
+    let clients = requests(&name)
+        .map(|request| thread::spawn(move || (request.request_line.clone(), send(gateway, &request))));
+    let answers = clients.map(|client| client.join().expect("no panic"));
+    let is_incomplete = |answer: &Answer| {
+        answer.wait > CLIENT_WAIT || answer.status != Some(200) || answer.body_bytes != body_bytes
+    };
+    let incomplete = answers.into_iter().filter(|(_, answer)| is_incomplete(answer));
+    incomplete.map(|(line, answer)| format!("{name}, {body_bytes} bytes, {line}: {answer:?}")).collect()
+}
+
+/// Asserts that all clients get these responses completely. The responses are tried side by side.
+fn assert_complete(responses: Vec<PacedResponse>) {
+    let clients: Vec<_> =
+        responses.into_iter().map(|response| thread::spawn(|| incomplete_answers(response))).collect();
+    let incomplete: Vec<String> =
+        clients.into_iter().flat_map(|client| client.join().expect("no panic")).collect();
+    assert!(incomplete.is_empty(), "within a wait of {CLIENT_WAIT:?}: {incomplete:#?}");
+}
+
+/// Guards against a response that is cut off between its head and its body, as the attempt's timeout ran on after the head.
+#[test]
+fn long_response_whose_body_comes_late_is_not_cut_off() {
+    let mut responses = Vec::new();
+    for framing in ResponseFraming::ALL {
+        for body_bytes in [126_017, 226_862, 294_407] {
+            let head = PacedPart { pause: Duration::ZERO, bytes: framing.head(body_bytes) };
+            let data = framing.frame(&vec![b'd'; body_bytes]);
+            let body = PacedPart { pause: PAUSE, bytes: [data, framing.end()].concat() };
+            responses.push(PacedResponse {
+                name: format!("{framing:?}"),
+                body_bytes,
+                parts: vec![head, body],
+            });
+        }
+    }
+    assert_complete(responses);
+}
