Let a response that is arriving take until the deadline

Callers saw: 502 (429 for an idempotent class) some 0.6 s after a request whose response had begun, while the endpoint went on writing and the client had about 1.9 s left. Cause: RequestState::next_timeout cuts an attempt's timeout to the class's latency objective where a later response is worth nothing. That timeout bounds the wait for an endpoint, but since a stream is opened only with its first data it also ran between the head and the body. Change: once the first byte of a response has arrived, the attempt is due at the client's deadline. A response that never comes still ends there, as tests/slow_endpoints.rs checks. The test's endpoint left the body of an unsafe request unread and closed, so that the system reset its connection and discarded the response; it now reads until the gateway closes.

--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -212,7 +212,7 @@
     }
 
     /// Cancels an attempt whose timeout has passed. Sets the timer again if the timeout has moved, because the client was
-    /// still sending the body.
+    /// still sending the body or the response is arriving.
     pub fn time_out(&self, request_id: &RequestId, number: u32) {
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         request.update_wait_start(&self.clock);
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -22,7 +22,7 @@
     pub started_at: Time,
     /// Time at which the attempt was started or, if that is later, at which the request's body was received completely.
     pub sent_at: Time,
-    /// Maximum time until the response, from `started_at` or, if that is later, from the start of the client's wait.
+    /// Maximum time until the first byte of the response, from `started_at` or, if that is later, from the start of the client's wait.
     pub timeout: Seconds,
     /// Time at which a streamed response started; `None` before that and for responses that are not streamed.
     pub response_started_at: Option<Time>,
@@ -194,10 +194,14 @@
     }
 
     /// Returns the time at which an attempt times out, if the client sends the request's last byte at `now` or has done
-    /// so. `None` if the attempt has ended or its response has started.
+    /// so. The attempt's timeout bounds the wait for a response; one that is arriving may take until the deadline. `None`
+    /// if the attempt has ended or its response was delivered as a stream.
     pub fn attempt_due_at(&self, number: u32, now: Time) -> Option<Time> {
         let attempt = self.attempts.get(number as usize)?.as_ref()?;
         attempt.timeout_timer?;
+        if attempt.write_progress.has_response_started() {
+            return Some(self.deadline(now));
+        }
         Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
     }
 
--- a/tests/fakes/raw_endpoint.rs
+++ b/tests/fakes/raw_endpoint.rs
@@ -7,7 +7,7 @@
 use socket2::SockRef;
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     time::{Duration, Instant},
 };
 
@@ -107,7 +107,8 @@
     }
 }
 
-/// Starts an endpoint that writes these parts to each request, and then closes the connection.
+/// Starts an endpoint that writes these parts to each request, then ends its sending and reads until the gateway closes.
+/// If it closed with unread bytes of the request, the system would reset the connection and discard the response.
 pub fn start_paced_writer(parts: Vec<PacedPart>) -> RawEndpoint {
     RawEndpoint::start(move |mut socket| {
         if !read_past_head(&mut socket) {
@@ -119,5 +120,7 @@
                 return;
             }
         }
+        let _ = socket.shutdown(Shutdown::Write);
+        let _ = socket.read_to_end(&mut Vec::new());
     })
 }
