Give up no response because its sender pauses within it

Callers would see: 502 or 429 0.40 s after a response of up to 64 KiB had paused, and 1.0 s after a head had, with time left. An endpoint list that discovery wrote with pauses was cut off in each call. Cause: the shared HTTP client gave up each response after 0.4 s without data of a buffered body or 1 s within a head, and a list after 3.3 s in all. Silence of that length does not show that the sender is lost. For a request that may not run again there was nothing to gain from giving up. Change: a response that is arriving is bounded by the attempt's due time, which is the deadline. A pause of 0.4 s before the delivery is an event of the policy, which hedges the request where that is allowed, so that an endless pause costs no more than before.

--- a/src/interface/event.rs
+++ b/src/interface/event.rs
@@ -22,6 +22,11 @@
         /// Request that the response answers.
         request_id: RequestId,
     },
+    /// An endpoint has paused within a response that was not delivered yet. It may go on, or another attempt may be faster.
+    ResponseStalled {
+        /// Request that the response answers.
+        request_id: RequestId,
+    },
     /// An attempt has ended.
     AttemptEnded {
         /// Request that the attempt was made for.
--- a/src/node/connection/discovery/call.rs
+++ b/src/node/connection/discovery/call.rs
@@ -12,7 +12,7 @@
 };
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, Uri, header, http::response::Parts};
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 use tokio::{
     sync::mpsc,
     time::{Instant, timeout_at},
@@ -22,11 +22,15 @@
 /// the gateway within 6 s of reaching discovery, even if a call fails: the hold, the grace period after it, the
 /// backoff or the policy's next poll (1 s), and a connection that is slow to open fit into that.
 const WATCH_HOLD: Duration = Duration::from_millis(2500);
-/// Time for the complete response after the hold. Then the call fails, and the next one opens a new connection.
+/// Time for the beginning of the response after the hold. Then the call fails, and the next one opens a new connection.
 const WATCH_GRACE: Duration = Duration::from_millis(800);
 /// Longest time for a call without a hold, including connecting. A discovery that serves the calls of all gateways in
 /// turn may take 2 s to respond, and a call that gives up sooner has to wait for its turn again.
 const FIRST_CALL_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Longest silence within a response. A long list, or one that discovery writes slowly, may take longer in total.
+const MAX_SILENCE: Duration = Duration::from_millis(1200);
+/// Longest time for a complete response, however it arrives.
+const MAX_CALL_TIME: Duration = Duration::from_secs(20);
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -42,7 +46,8 @@
 }
 
 impl ListCall {
-    /// Makes the call and returns the list as JSON text. One deadline covers connecting and the exchange.
+    /// Makes the call and returns the list as JSON text. One deadline covers connecting and the wait for a response; a
+    /// response that has begun may take longer.
     ///
     /// Uses `kept_connection`, or a new connection if that is not usable, and keeps the connection there after a
     /// success. The call is a watch if the connection was kept and the version is known; otherwise it requests no
@@ -66,8 +71,8 @@
         };
         progress.attach(connection.progress());
         let request = self.request(hold)?;
-        let exchange = self.exchange(&mut connection, request, time_limit);
-        let response = timeout_at(deadline, exchange).await.map_err(|_| DiscoveryError::Timeout)??;
+        let exchange = self.exchange(&mut connection, request);
+        let response = wait_for_response(exchange, progress, deadline).await?;
         if response.status() != StatusCode::OK {
             return Err(DiscoveryError::Status(response.status()));
         }
@@ -90,10 +95,9 @@
         self,
         connection: &mut HttpConnection,
         request: Request<OutgoingBody>,
-        time_limit: Duration,
     ) -> Result<Response<Bytes>, DiscoveryError> {
         let sink = LongListRejection::default();
-        let limits = BufferLimits { max_bytes: self.max_list_bytes, max_time: time_limit };
+        let limits = BufferLimits { max_bytes: self.max_list_bytes, max_time: Duration::MAX };
         let response = connection.exchange(request, limits, &sink).await.map_err(|_| {
             if sink.is_too_long.get() {
                 DiscoveryError::TooLong { max_bytes: self.max_list_bytes }
@@ -105,8 +109,32 @@
     }
 }
 
-/// Sink that rejects a list beyond the buffer limits. The buffering time equals the call's time limit, so such a list
-/// is too long. The limit on its length bounds the memory.
+/// Waits until the exchange ends, no response has begun by `deadline`, or a response has fallen silent.
+async fn wait_for_response(
+    exchange: impl Future<Output = Result<Response<Bytes>, DiscoveryError>>,
+    progress: &WriteProgressHandle,
+    deadline: Instant,
+) -> Result<Response<Bytes>, DiscoveryError> {
+    let mut exchange = pin!(exchange);
+    let last_deadline = deadline + MAX_CALL_TIME;
+    loop {
+        let now = Instant::now();
+        let wait_until = match progress.received() {
+            Some((_, silence)) => last_deadline.min(now + MAX_SILENCE.saturating_sub(silence)),
+            None => deadline,
+        };
+        if wait_until <= now {
+            return Err(DiscoveryError::Timeout);
+        }
+        // A response that begins meanwhile is checked for silence in time.
+        if let Ok(response) = timeout_at(wait_until.min(now + MAX_SILENCE), &mut exchange).await {
+            return response;
+        }
+    }
+}
+
+/// Sink that rejects a list beyond the buffer limits. The buffering time is unlimited, so such a list is too long. The
+/// limit on its length bounds the memory.
 #[derive(Default)]
 struct LongListRejection {
     is_too_long: Cell<bool>,
@@ -122,6 +150,8 @@
         false
     }
 
+    fn response_stalled(&self) {}
+
     fn take_request_memory(&self) -> Option<MemoryPermit> {
         None
     }
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -65,6 +65,8 @@
 pub trait AttemptRequest {
     /// Returns whether the attempt may still be sent.
     fn may_send(&self) -> bool;
+    /// Handles a pause within the response before it was delivered.
+    fn response_stalled(&self);
     /// Takes over the reservation for the request's body if that was streamed, as the response shows that it was sent.
     fn take_upload_memory(&self) -> Option<MemoryPermit>;
     /// Starts the streamed response, given its length if it is known. Returns `None` if it is no longer wanted.
@@ -178,6 +180,10 @@
         parts.status == StatusCode::OK && length.is_none_or(|length| length <= MAX_BODY_BYTES as u64)
     }
 
+    fn response_stalled(&self) {
+        self.request.response_stalled();
+    }
+
     fn take_request_memory(&self) -> Option<MemoryPermit> {
         self.request.take_upload_memory()
     }
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -27,15 +27,9 @@
     time::Duration,
 };
 use thiserror::Error;
-use tokio::{
-    net::TcpStream,
-    time::{Sleep, sleep, timeout},
-};
+use tokio::{net::TcpStream, time::timeout};
 use tracing::debug;
 
-/// Longest silence within the head of a response. Slow endpoints write the head in small parts.
-const HEAD_STALL_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Failure of an exchange, by whether the endpoint may have run the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum ExchangeError {
@@ -108,7 +102,7 @@
         !has_input(&self.socket) && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
     }
 
-    /// Sends a request and reads the response. A body beyond `limits` goes to a stream of `sink`; then the response is
+    /// Sends a request and reads the response. The caller limits the time until a stream of `sink` has started. A body beyond `limits` goes to a stream of `sink`; then the response is
     /// returned after the end of the stream, with an empty body.
     ///
     /// # Errors
@@ -164,15 +158,14 @@
     }
 }
 
-/// Polls the connection until the response is read, the connection ends before the response's head, or the endpoint falls
-/// silent within the head. After the head has arrived, the rest of the response is read even if the connection has ended.
+/// Polls the connection until the response is read or the connection ends before the response's head. After the head has
+/// arrived, the rest of the response is read even if the connection has ended.
 async fn drive(
     driver: &mut Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
     progress: &WriteProgress,
     mut response: Pin<&mut impl Future<Output = Result<Response<BufferedBody>, UnclassifiedFailure>>>,
 ) -> Result<Response<BufferedBody>, UnclassifiedFailure> {
     let mut is_closed = false;
-    let mut head_timer: Option<HeadTimer> = None;
     poll_fn(|cx| {
         // hyper's connection future must not be polled after it has completed.
         if !is_closed {
@@ -181,40 +174,10 @@
         if let Poll::Ready(result) = response.as_mut().poll(cx) {
             return Poll::Ready(result);
         }
-        if progress.has_head() {
-            return Poll::Pending;
-        }
-        if is_closed {
+        if is_closed && !progress.has_head() {
             return Poll::Ready(Err(UnclassifiedFailure::Broken));
         }
-        // Most heads arrive in one read and need no timer.
-        if progress.has_response_started() {
-            let received_bytes = progress.received_bytes();
-            let timer = head_timer.get_or_insert_with(|| HeadTimer::new(received_bytes));
-            return timer.poll(cx, received_bytes).map(|()| Err(UnclassifiedFailure::Stalled));
-        }
         Poll::Pending
     })
     .await
 }
-
-/// Timer that ends once no byte of a response's head has arrived for [`HEAD_STALL_TIMEOUT`].
-struct HeadTimer {
-    sleep: Pin<Box<Sleep>>,
-    /// Bytes of the response that had arrived when the timer was last started.
-    received_bytes: usize,
-}
-
-impl HeadTimer {
-    fn new(received_bytes: usize) -> Self {
-        Self { sleep: Box::pin(sleep(HEAD_STALL_TIMEOUT)), received_bytes }
-    }
-
-    /// Restarts the timer if more bytes have arrived, and polls it.
-    fn poll(&mut self, cx: &mut Context<'_>, received_bytes: usize) -> Poll<()> {
-        if received_bytes > self.received_bytes {
-            *self = Self::new(received_bytes);
-        }
-        self.sleep.as_mut().poll(cx)
-    }
-}
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -15,7 +15,7 @@
     header::{CONNECTION, TRANSFER_ENCODING},
     http::response::Parts,
 };
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 use thiserror::Error;
 use tokio::{
     sync::mpsc,
@@ -23,11 +23,9 @@
 };
 use tracing::debug;
 
-/// Longest wait for the next data of a buffered body. A body that stalls for longer is abandoned, because another
-/// attempt makes better use of the request's remaining time.
-const BUFFER_STALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest wait for the next data of a streamed body. Longer than for a buffered body, because no other attempt can
-/// replace a stream that has begun.
+/// Wait for the next data of a body after which another response may be sought.
+const STALL_TIME: Duration = Duration::from_millis(400);
+/// Longest wait for the next data of a streamed body, for which the caller sets no limit.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest part of a body that needs no reservation, because the connection's read buffer holds it anyway.
 const UNRESERVED_BYTES: usize = MIN_RESPONSE_FRAME_BYTES;
@@ -81,6 +79,8 @@
     /// Returns whether a body beyond the buffer limits is wanted, given the response's head and the body's length if it
     /// is known.
     fn accepts_stream(&self, parts: &Parts, length: Option<u64>) -> bool;
+    /// Handles a pause within a response that another one may still replace. The response is awaited further.
+    fn response_stalled(&self);
     /// Takes over a reservation that the request no longer needs, to be used for the stream.
     fn take_request_memory(&self) -> Option<MemoryPermit>;
     /// Opens the stream. Its receiver holds `memory` until the end of the stream. Returns `None` if the body is no
@@ -117,10 +117,22 @@
         }
         Ok(None)
     }
+
+    /// Like [`next_data`](Self::next_data), for a response that another one may still replace: reports a pause to the
+    /// sink.
+    async fn next_replaceable_data(&mut self, sink: &impl BodySink) -> Result<Option<Bytes>, hyper::Error> {
+        let mut next = pin!(self.next_data());
+        if let Ok(data) = timeout(STALL_TIME, &mut next).await {
+            return data;
+        }
+        sink.response_stalled();
+        next.await
+    }
 }
 
 /// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed. A stream starts only when
-/// memory is free for it and its first data has arrived; the caller limits the wait for either.
+/// memory is free for it and its first data has arrived. The caller limits the time of a buffered body, and the wait for
+/// the start of a stream.
 ///
 /// # Errors
 /// The body was cut off or stalled, or no stream was opened for it, or the stream's receiver was dropped.
@@ -137,7 +149,7 @@
     // The body of another response is read to its end, so that the connection can be reused, but it is not kept.
     let is_kept = parts.status == StatusCode::OK;
     let mut buffer = BodyBuffer::new(length, sink.memory(), is_kept);
-    let excess = match buffer.fill(&mut body, limits).await? {
+    let excess = match buffer.fill(&mut body, limits, sink).await? {
         Filled::Complete => return Ok(buffer.into_body()),
         Filled::Partial { excess } => excess,
     };
@@ -150,7 +162,7 @@
     // Until the first data has arrived another response may still take the place of this one, so the stream is not opened
     // and the caller's time limits hold.
     if beginning.iter().all(Bytes::is_empty) {
-        let Some(data) = body.next_data().await? else { return Ok(BufferedBody::default()) };
+        let Some(data) = body.next_replaceable_data(sink).await? else { return Ok(BufferedBody::default()) };
         beginning = [data, Bytes::new()];
     }
     let sender = sink.open_stream(length, memory).ok_or(ResponseBodyError::NotStreamed)?;
@@ -200,15 +212,14 @@
         &mut self,
         body: &mut BodyReader,
         limits: BufferLimits,
+        sink: &impl BodySink,
     ) -> Result<Filled, ResponseBodyError> {
         let time_limit = sleep(limits.max_time);
         tokio::pin!(time_limit);
         while limits.can_buffer(self.length) && self.received_bytes <= limits.max_bytes {
             let data = tokio::select! {
                 biased;
-                data = timeout(BUFFER_STALL_TIMEOUT, body.next_data()) => {
-                    data.map_err(|_| ResponseBodyError::Stalled(BUFFER_STALL_TIMEOUT))??
-                }
+                data = body.next_replaceable_data(sink) => data?,
                 () = time_limit.as_mut(), if self.length.is_none() => break,
             };
             let Some(data) = data else { return Ok(Filled::Complete) };
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -277,6 +277,10 @@
         self.attempts.may_send(self.request_id)
     }
 
+    fn response_stalled(&self) {
+        self.attempts.policy.post(Event::ResponseStalled { request_id: self.request_id.clone() });
+    }
+
     fn take_upload_memory(&self) -> Option<MemoryPermit> {
         self.attempts.table.get_mut(self.request_id)?.take_upload_memory()
     }
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -61,6 +61,7 @@
             Event::ResponseStarted { request_id } => {
                 requests.response_started(&request_id, backends, context);
             }
+            Event::ResponseStalled { request_id } => requests.hedge(&request_id, backends, context),
             Event::AttemptEnded {
                 request_id,
                 attempt,
--- a/tests/request_lifecycle.rs
+++ b/tests/request_lifecycle.rs
@@ -205,3 +205,26 @@
         "no hedged request is scheduled"
     );
 }
+
+/// Returns the number of attempts that a gateway starts when the response to a request's first attempt pauses.
+fn attempts_after_pause(effect: Effect, hedging_enabled: bool) -> usize {
+    let mut settings = settings_without_quota(effect);
+    settings.hedging_enabled = hedging_enabled;
+    let mut harness = GatewayHarness::new(settings);
+    assert_eq!(started_attempts(&harness.send_request("j")).len(), 1);
+    let paused = |harness: &mut GatewayHarness| {
+        started_attempts(&harness.handle(Event::ResponseStalled { request_id: "j".into() })).len()
+    };
+    let started = paused(&mut harness);
+    assert_eq!(paused(&mut harness), 0, "one hedged request at most is in flight");
+    started
+}
+
+/// Guards against a paused response that nothing can replace, and against an unsafe request that runs twice because of a
+/// pause.
+#[test]
+fn paused_response_is_hedged_only_if_request_may_run_again() {
+    assert_eq!(attempts_after_pause(Effect::Idempotent, true), 1);
+    assert_eq!(attempts_after_pause(Effect::Idempotent, false), 0);
+    assert_eq!(attempts_after_pause(Effect::AtMostOnce, true), 0);
+}
