Let an endpoint read a large upload until the deadline

Callers would see: 429 or 502 at the latency objective (0.6 s of a wait of 2.5 s) while the endpoint was still reading their upload. Cause: the attempt's timeout, cut to the objective, counted the time in which the endpoint reads the request. A request of up to some 1 MB is written to the system's buffers long before the endpoint has read it, so the gateway does not see how far the endpoint has come.

--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/write_progress.rs
@@ -77,6 +77,11 @@
         self.received_bytes.get() > 0
     }
 
+    fn is_in_transit(&self) -> bool {
+        let is_partly_written = !self.is_unwritten() && !self.is_completely_written();
+        is_partly_written || self.has_response_started()
+    }
+
     /// Returns the number of bytes of the final response that have arrived.
     pub fn received_bytes(&self) -> usize {
         self.received_bytes.get()
@@ -258,6 +263,11 @@
         Some((progress.received_bytes(), progress.last_received_at.get()?.elapsed()))
     }
 
+    /// Returns whether the request is partly written, or the response has begun to arrive.
+    pub fn is_in_transit(&self) -> bool {
+        self.0.borrow().as_ref().is_some_and(|progress| progress.is_in_transit())
+    }
+
     /// Returns whether bytes of the final response have arrived.
     pub fn has_response_started(&self) -> bool {
         self.0.borrow().as_ref().is_some_and(|progress| progress.has_response_started())
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -194,12 +194,12 @@
     }
 
     /// Returns the time at which an attempt times out, if the client sends the request's last byte at `now` or has done
-    /// so. The attempt's timeout bounds the wait for a response; one that is arriving may take until the deadline. `None`
-    /// if the attempt has ended or its response was delivered as a stream.
+    /// so. The attempt's timeout bounds the wait for a response; a request that is partly written, or a response that is
+    /// arriving, may take until the deadline. `None` if the attempt has ended or its response was delivered as a stream.
     pub fn attempt_due_at(&self, number: u32, now: Time) -> Option<Time> {
         let attempt = self.attempts.get(number as usize)?.as_ref()?;
         attempt.timeout_timer?;
-        if attempt.write_progress.has_response_started() {
+        if attempt.write_progress.is_in_transit() {
             return Some(self.deadline(now));
         }
         Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
@@ -244,10 +244,12 @@
     }
 
     /// Returns the timeout of an attempt sent at `now`: `timeout`, but not more than the time that the client still
-    /// waits. A `timeout` of 0 means that the attempt has no timeout of its own.
+    /// waits. A `timeout` of 0 means that the attempt has no timeout of its own. Neither has a large upload, of which the
+    /// endpoint may have read little when the gateway has written it all.
     pub fn attempt_timeout(&self, now: Time, timeout: Seconds) -> Seconds {
         let remaining = self.deadline(now) - now;
-        if timeout == 0.0 { remaining } else { timeout.min(remaining) }
+        let has_timeout = timeout != 0.0 && !self.upstream.body.is_large();
+        if has_timeout { timeout.min(remaining) } else { remaining }
     }
 
     /// Returns the number of the next attempt, counted from 0.
--- a/src/node/wire/stream.rs
+++ b/src/node/wire/stream.rs
@@ -1,7 +1,7 @@
 //! Streamed request and response bodies. The frames of a body pass through a bounded channel with backpressure: a slow
 //! reader holds up the writer.
 
-use crate::node::wire::body_arrival::BodyArrival;
+use crate::node::wire::{body_arrival::BodyArrival, limits::MAX_BUFFERED_BODY_BYTES};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::{
@@ -99,6 +99,14 @@
         }
     }
 
+    /// Returns whether the body is so long that it may take the endpoint some time to read it.
+    pub fn is_large(&self) -> bool {
+        match self {
+            Self::Buffered(bytes) => bytes.len() > MAX_BUFFERED_BODY_BYTES,
+            Self::Streamed { .. } => true,
+        }
+    }
+
     /// Returns the arrival of a streamed body; `None` for a buffered body, which has arrived.
     pub fn arrival(&self) -> Option<&BodyArrival> {
         match self {
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -4,12 +4,12 @@
 mod fakes;
 use fakes::{
     Client, EndpointBehaviour, FakeEndpoint, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming,
-    TestRequest, read_past_head, start_paced_writer,
+    TestRequest, read_message, read_past_head, start_paced_writer,
 };
 use serde_json::json;
 use std::{
-    io::{Read, Write},
-    net::SocketAddr,
+    io::{BufReader, Read, Write},
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -170,3 +170,53 @@
         assert!(answer.status == Some(200) && answer.wait < HEDGED_WITHIN, "{answer:?}");
     }
 }
+
+/// Reads from a socket at a limited rate.
+struct PacedReader {
+    socket: TcpStream,
+    bytes_per_second: f64,
+}
+
+impl Read for PacedReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let length = buffer.len().min(2048);
+        let count = self.socket.read(&mut buffer[..length])?;
+        thread::sleep(Duration::from_secs_f64(count as f64 / self.bytes_per_second));
+        Ok(count)
+    }
+}
+
+/// Guards against an upload that is cut off because its endpoint reads it for longer than the latency objective.
+#[test]
+fn upload_that_endpoint_reads_slowly_is_not_cut_off() {
+    const READ_TIME_SECONDS: f64 = 1.4;
+    let uploads: Vec<_> = [150_000, 300_000, 700_000, 1_500_000]
+        .into_iter()
+        .flat_map(|body_bytes| [(body_bytes, false), (body_bytes, true)])
+        .map(|(body_bytes, is_chunked)| {
+            thread::spawn(move || {
+                let endpoint = RawEndpoint::start(move |mut socket| {
+                    let bytes_per_second = body_bytes as f64 / READ_TIME_SECONDS;
+                    let reading = PacedReader { socket: socket.try_clone().expect("open"), bytes_per_second };
+                    if read_message(&mut BufReader::new(reading)).is_some() {
+                        let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    }
+                });
+                let node = start_gateway(&endpoint);
+                let body = vec![b'u'; body_bytes];
+                let mut request = TestRequest::at_most_once("upload").with_header("X-Remaining", WAIT_HEADER);
+                request.body = body;
+                if is_chunked {
+                    let framing = ResponseFraming::Chunked;
+                    request = request.with_header("Transfer-Encoding", "chunked");
+                    request.body = [framing.frame(&request.body), framing.end()].concat();
+                }
+                (body_bytes, is_chunked, send(node.addr, &request))
+            })
+        })
+        .collect();
+    let answers: Vec<_> = uploads.into_iter().map(|upload| upload.join().expect("no panic")).collect();
+    let is_cut = |answer: &Answer| answer.status != Some(200) || answer.wait > CLIENT_WAIT;
+    let cut: Vec<_> = answers.iter().filter(|(_, _, answer)| is_cut(answer)).collect();
+    assert!(cut.is_empty(), "bytes, is chunked, answer: {cut:#?}");
+}
