Wait 10 s for an endpoint that pauses within a stream

Callers would see: a long response reset half way, 5 s after its endpoint had paused. Cause: the limit on the silence of a stream was half of that for a client that stops reading, which is 10 s; nothing can replace a response that was forwarded in part. Change: 10 s in both directions. It stays bounded, as an endpoint that is cut off from the network says nothing.

--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -26,7 +26,7 @@
 /// Wait for the next data of a body after which another response may be sought.
 const STALL_TIME: Duration = Duration::from_millis(400);
 /// Longest wait for the next data of a streamed body, for which the caller sets no limit.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest part of a body that needs no reservation, because the connection's read buffer holds it anyway.
 const UNRESERVED_BYTES: usize = MIN_RESPONSE_FRAME_BYTES;
 
