Let a client pause within a short response as within a long one

Callers would see: a response of up to 64 KiB reset half way, 2 s after its writing had begun, if the client paused or read slowly. Cause: a buffered response had 2 s in all, however much of it the client took meanwhile, where a streamed one had 10 s from each progress. Change: both have 10 s from each progress. Result: buffered_response_is_not_cut_off_when_client_pauses (65,000 bytes, a pause of 3.5 s, small receive buffer) failed before with 43,955 bytes and passes; slow_clients, client_connections, streaming and unread_body pass.

--- a/src/node/connection/clients/response_writer.rs
+++ b/src/node/connection/clients/response_writer.rs
@@ -67,7 +67,7 @@
     let head = response.render_head(keep_alive, minor_version);
     let (length, frames) = match response.body {
         ResponseBody::Buffered(body) => {
-            socket.tcp.write_all_buf(&mut head.chain(body)).await?;
+            write_all(socket, head.chain(body), Stage::WritingResponse).await?;
             return Ok(Delivery::Complete(outcome));
         }
         ResponseBody::Streamed { length, frames } => (length, frames),
@@ -141,12 +141,16 @@
         self.write(head.chain(Bytes::from(size_line)).chain(data).chain(&b"\r\n"[..])).await
     }
 
-    /// Writes all bytes and restarts the stage's time with each write that makes progress.
-    async fn write(&mut self, mut output: impl Buf) -> io::Result<()> {
-        while output.has_remaining() {
-            self.socket.tcp.write_buf(&mut output).await?;
-            self.socket.state.enter(Stage::StreamingResponse);
-        }
-        Ok(())
+    async fn write(&mut self, output: impl Buf) -> io::Result<()> {
+        write_all(self.socket, output, Stage::StreamingResponse).await
+    }
+}
+
+/// Writes all bytes and restarts the stage's time with each write that makes progress.
+async fn write_all(socket: &mut ClientSocket<'_>, mut output: impl Buf, stage: Stage) -> io::Result<()> {
+    while output.has_remaining() {
+        socket.tcp.write_buf(&mut output).await?;
+        socket.state.enter(stage);
     }
+    Ok(())
 }
--- a/src/node/connection/clients/state.rs
+++ b/src/node/connection/clients/state.rs
@@ -48,7 +48,7 @@
 /// The state of a client's connection, and the means to close it from outside its task.
 pub struct ConnectionState {
     pub stage: Cell<Stage>,
-    /// Time at which the connection entered the stage, or last made progress with a streamed response.
+    /// Time at which the connection entered the stage, or last made progress with a response.
     pub entered_at: Cell<Instant>,
     /// Time at which bytes of the current request last arrived.
     pub last_read_at: Cell<Instant>,
--- a/src/node/connection/clients/timeouts.rs
+++ b/src/node/connection/clients/timeouts.rs
@@ -8,11 +8,9 @@
 
 /// Time between two checks of all connections.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time for writing a buffered response to a client.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest time without progress of a streamed response. Slow clients read 64 kB a second, and the system accepts more
-/// bytes only after a good part of the send buffer has drained.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time without progress of a response. Slow clients read 64 kB a second, and the system accepts more bytes only
+/// after a good part of the send buffer has drained.
+const RESPONSE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest wait for the client to close after the gateway has shut down its sending side. If the gateway closed at
 /// once, unread data would turn the close into a reset, which may discard the response before the client reads it.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,14 +34,11 @@
             connection.request_close();
         }
         Stage::Idle if time_in_stage > IDLE_TIMEOUT => connection.request_close(),
-        Stage::WritingResponse if time_in_stage > RESPONSE_TIMEOUT => cut_response(connection, cuts),
-        Stage::StreamingResponse if time_in_stage > STREAM_STALL_TIMEOUT => cut_response(connection, cuts),
+        Stage::WritingResponse | Stage::StreamingResponse if time_in_stage > RESPONSE_STALL_TIMEOUT => {
+            cuts.count(CutReason::ClientStalled);
+            connection.abort_overdue();
+        }
         Stage::Closing if time_in_stage > LINGER_TIMEOUT => connection.abort_overdue(),
         _ => {}
     }
 }
-
-fn cut_response(connection: &ConnectionState, cuts: &CutCounters) {
-    cuts.count(CutReason::ClientStalled);
-    connection.abort_overdue();
-}
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -7,6 +7,7 @@
     TestRequest, read_message, read_past_head, start_paced_writer,
 };
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
@@ -240,3 +241,29 @@
     }
     assert_complete(responses);
 }
+
+/// Guards against a short response that is cut off because its client pauses while it reads.
+#[test]
+fn buffered_response_is_not_cut_off_when_client_pauses() {
+    const CLIENT_PAUSE: Duration = Duration::from_millis(3500);
+    const BODY_BYTES: usize = 65_000;
+    let framing = ResponseFraming::Length;
+    let response = [framing.head(BODY_BYTES), vec![b'd'; BODY_BYTES]].concat();
+    let endpoint = start_paced_writer(vec![PacedPart { pause: Duration::ZERO, bytes: response }]);
+    let node = start_gateway(&endpoint);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    // The system buffers little of the response for the client, as for one behind a slow link.
+    socket.set_recv_buffer_size(2048).expect("an open socket");
+    socket.set_tcp_mss(536).expect("an open socket");
+    socket.connect(&node.addr.into()).expect("the gateway listens");
+    let mut client = TcpStream::from(socket);
+    let request = TestRequest::new("paused").with_header("Connection", "close");
+    client.write_all(&request.to_bytes()).expect("an open socket");
+    client.read_exact(&mut [0; 12]).expect("the beginning of a response");
+    thread::sleep(CLIENT_PAUSE);
+    let mut received = Vec::new();
+    client.set_read_timeout(Some(CLIENT_WAIT)).expect("an open socket");
+    let _ = client.read_to_end(&mut received);
+    let received_bytes = received.iter().filter(|byte| **byte == b'd').count();
+    assert_eq!(received_bytes, BODY_BYTES);
+}
