Answer requests that are still arriving when a shutdown begins

Callers would see: 408 or a close without an answer 0.65 s after SIGTERM, while they were writing their request on an open connection. Cause: the shutdown asked every connection to close but those that were just receiving a streamed body, and a connection that reads a head or a buffered body obeyed as if it were idle. A close that was asked for in another stage also took effect later, in an upload. Change: a connection on which bytes of a request have arrived closes after the response, unless the request is overdue, which the listener limits as before (2.5 s, 48 kB a second). Once open requests are failed, 0.4 s before the kill, a request that is complete only then is rejected with 503: no time is left to answer it otherwise.

--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -86,6 +86,10 @@
             }
         };
         match request {
+            Ok(request) if self.context.rejects_requests.get() => {
+                self.context.metrics.request_started(request.class).end(metrics::RequestOutcome::Rejected);
+                self.respond_without_handler(StatusCode::SERVICE_UNAVAILABLE, body, options).await
+            }
             Ok(request) => self.serve_request(request, body, options).await,
             Err(status) => self.respond_without_handler(status, body, options).await,
         }
--- a/src/node/connection/clients/context.rs
+++ b/src/node/connection/clients/context.rs
@@ -23,6 +23,8 @@
     pub memory: Rc<BodyMemory>,
     /// True if a shutdown has begun; each response then closes its connection.
     pub is_stopping: Cell<bool>,
+    /// True if no time is left to answer further requests before the process ends.
+    pub rejects_requests: Cell<bool>,
 }
 
 impl ConnectionContext {
@@ -34,7 +36,8 @@
         replica_counts: Rc<ReplicaCounts>,
         memory: Rc<BodyMemory>,
     ) -> Self {
-        Self { handler, options, metrics, replica_counts, memory, is_stopping: Cell::new(false) }
+        let (is_stopping, rejects_requests) = (Cell::new(false), Cell::new(false));
+        Self { handler, options, metrics, replica_counts, memory, is_stopping, rejects_requests }
     }
 
     /// Returns the status of the health check for load balancers in front of the gateway.
--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -4,7 +4,7 @@
     connection::ClientConnection,
     context::ConnectionContext,
     eviction,
-    state::{ConnectionState, ConnectionTable, Stage},
+    state::{ConnectionState, ConnectionTable},
     timeouts,
 };
 use std::{
@@ -61,16 +61,18 @@
         self.serve_pending_socket();
     }
 
-    /// Asks each connection to close: at once if it is idle, otherwise after the response to its open request. Skips
-    /// connections that are receiving a streamed request body.
+    /// Asks each connection to close: at once if no byte of a request has arrived, otherwise after the response.
     pub fn close_connections(&self) {
         for connection in self.connections.borrow().values() {
-            if connection.stage.get() != Stage::ReceivingBody {
-                connection.request_close();
-            }
+            connection.request_close();
         }
     }
 
+    /// Rejects all further requests, as the process is about to end.
+    pub fn reject_requests(&self) {
+        self.context.rejects_requests.set(true);
+    }
+
     /// Returns whether clients are accepted and no shutdown has begun.
     pub fn is_accepting(&self) -> bool {
         self.is_accepting.get() && !self.context.is_stopping.get()
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -154,10 +154,13 @@
         // An evicted connection gets no last response, because its capacity is needed at once.
         if self.state.is_evicted.get() {
             CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Evicted))
-        } else if self.buffer.is_empty() {
+        } else if !self.state.has_request_begun() {
             CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Idle))
-        } else {
+        } else if self.state.is_request_overdue() {
             CloseSignal::Close(ConnectionEnd::WithStatus(StatusCode::REQUEST_TIMEOUT))
+        } else {
+            // A shutdown waits for a request that is arriving.
+            CloseSignal::Outdated
         }
     }
 
--- a/src/node/connection/clients/state.rs
+++ b/src/node/connection/clients/state.rs
@@ -54,6 +54,8 @@
     pub last_read_at: Cell<Instant>,
     /// Time by which the current request must be complete.
     request_deadline: Cell<Instant>,
+    /// True from the first byte of a request until the end of the exchange.
+    has_request_begun: Cell<bool>,
     /// Value of `entered_at` when a close was last requested. The close request is void once `entered_at` has changed.
     close_requested_for: Cell<Option<Instant>>,
     /// True if the close was requested to free capacity for another connection.
@@ -77,6 +79,7 @@
             entered_at: Cell::new(now),
             last_read_at: Cell::new(now),
             request_deadline: Cell::new(now + REQUEST_TIMEOUT),
+            has_request_begun: Cell::new(false),
             close_requested_for: Cell::new(None),
             is_evicted: Cell::new(false),
             close_signal: Notify::new(),
@@ -96,9 +99,14 @@
     /// Enters a stage and restarts its time, which voids an earlier close request.
     pub fn enter(&self, stage: Stage) {
         let now = Instant::now();
-        if stage == Stage::ReadingRequest {
-            self.last_read_at.set(now);
-            self.request_deadline.set(now + REQUEST_TIMEOUT);
+        match stage {
+            Stage::ReadingRequest => {
+                self.last_read_at.set(now);
+                self.request_deadline.set(now + REQUEST_TIMEOUT);
+                self.has_request_begun.set(true);
+            }
+            Stage::Idle => self.has_request_begun.set(false),
+            _ => {}
         }
         self.is_evicted.set(false);
         self.stage.set(stage);
@@ -113,6 +121,7 @@
     /// Records that bytes of a request have arrived, and extends the request's deadline in proportion to them.
     pub fn record_read(&self, bytes: usize) {
         self.last_read_at.set(Instant::now());
+        self.has_request_begun.set(true);
         let allowance = Duration::from_secs_f64(bytes as f64 / MIN_BYTES_PER_SECOND);
         self.request_deadline.set(self.request_deadline.get() + allowance);
     }
@@ -123,6 +132,11 @@
         self.request_deadline.set(self.request_deadline.get() + wait_started_at.elapsed());
     }
 
+    /// Returns whether bytes of a request have arrived whose exchange has not ended.
+    pub fn has_request_begun(&self) -> bool {
+        self.has_request_begun.get()
+    }
+
     /// Returns whether the current request has missed its deadline, or none of its bytes has arrived for too long.
     pub fn is_request_overdue(&self) -> bool {
         self.last_read_at.get().elapsed() > REQUEST_TIMEOUT || self.request_deadline.get() < Instant::now()
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -39,9 +39,9 @@
     Serve(TcpListener),
     /// New connections are refused. Open connections may still bring requests.
     RefuseConnections,
-    /// Idle connections are closed. Requests in flight still get their responses.
+    /// Idle connections are closed. Requests in flight, and those that are arriving, still get their responses.
     DrainRequests,
-    /// Open requests are failed, so that each client has a response before SIGKILL.
+    /// Open requests are failed and further ones rejected, so that each client has a response before SIGKILL.
     FailOpenRequests,
     /// The process may exit.
     Ended,
@@ -136,6 +136,7 @@
     }
 
     async fn fail_open_requests(&self) -> Phase {
+        self.clients.reject_requests();
         self.driver.requests().fail_all();
         self.all_connections_closed_by(self.schedule.exit_at).await;
         Phase::Ended
