Keep a response that begins before its endpoint has read the upload

Callers would see: a connection reset within a response, if its endpoint began to respond before it had read the whole upload. Cause: the response ended the upload, whose sender was dropped; the truncated request body then closed the connection on which the response was still arriving. Change: the sender is kept, unused, until the streamed response has been written. Result: response_that_begins_before_end_of_upload_is_not_cut_off (1 MB upload, 200 kB response with a pause, three framings) failed before with no complete response and passes; unread_body, streaming and abandoned_requests pass.

--- a/src/node/connection/clients/body_upload.rs
+++ b/src/node/connection/clients/body_upload.rs
@@ -35,11 +35,20 @@
     /// The final response arrived before the upload was complete.
     ResponseArrived {
         response: FinalResponse,
-        /// Decoder for the rest of the body, which must be discarded; `None` if the body was read whole.
-        unread_body_decoder: Option<BodyDecoder>,
+        /// The rest of the upload; `None` if the body was read whole.
+        rest: Option<UnfinishedUpload>,
     },
 }
 
+/// An upload that the final response has overtaken.
+pub struct UnfinishedUpload {
+    /// Decoder for the rest of the body, which must be discarded.
+    pub decoder: BodyDecoder,
+    /// Sender of the frames, which gets no more. Dropping it closes the attempt's connection, on which the response may
+    /// still be arriving.
+    pub sender: mpsc::Sender<BodyFrame>,
+}
+
 /// Outcome of sending one frame to the attempt.
 enum SendOutcome {
     Sent,
@@ -80,7 +89,7 @@
                         return Ok(self.end_incomplete(response));
                     }
                     SendOutcome::ResponseArrived(response) if is_complete => {
-                        return Ok(UploadOutcome::ResponseArrived { response, unread_body_decoder: None });
+                        return Ok(UploadOutcome::ResponseArrived { response, rest: None });
                     }
                     SendOutcome::ResponseArrived(response) => return Ok(self.end_incomplete(response)),
                 }
@@ -117,7 +126,8 @@
 
     /// Ends the upload with a response that arrived before the body was read whole.
     fn end_incomplete(self, response: FinalResponse) -> UploadOutcome {
-        UploadOutcome::ResponseArrived { response, unread_body_decoder: Some(self.decoder) }
+        let rest = UnfinishedUpload { decoder: self.decoder, sender: self.sender };
+        UploadOutcome::ResponseArrived { response, rest: Some(rest) }
     }
 
     /// Takes the frames that are ready to be sent: the pending bytes, and the end of the body if it is complete.
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -4,7 +4,7 @@
     connection::{
         body_memory::MemoryPermit,
         clients::{
-            body_upload::{BodyUpload, UploadOutcome},
+            body_upload::{BodyUpload, UnfinishedUpload, UploadOutcome},
             handler::{FinalResponse, RequestHandler},
             request_reader::{ReceivedBody, ReceivedContent},
             response_writer::{self, Delivery},
@@ -13,14 +13,17 @@
         },
     },
     wire::{
-        body_arrival::BodyArrival, client_request::ClientRequest, client_response::ClientResponse,
-        request_body::BodyDecoder, stream::RequestBody,
+        body_arrival::BodyArrival,
+        client_request::ClientRequest,
+        client_response::ClientResponse,
+        request_body::BodyDecoder,
+        stream::{BodyFrame, RequestBody},
     },
 };
 use bytes::BytesMut;
 use oliverack::RequestId;
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 use tracing::debug;
 
 /// Largest number of bytes read at once of a body that is discarded. No memory is reserved for them.
@@ -33,17 +36,19 @@
     response_memory: Option<MemoryPermit>,
     /// Decoder for the rest of a request body that must be discarded; `None` if there is none.
     unread_body_decoder: Option<BodyDecoder>,
+    /// Sender of an unfinished upload, kept until the streamed response that overtook it has ended.
+    upload_sender: Option<mpsc::Sender<BodyFrame>>,
 }
 
 impl<'a, 'c> Exchange<'a, 'c> {
     /// Creates an exchange.
     pub fn new(socket: &'a mut ClientSocket<'c>) -> Self {
-        Self { socket, response_memory: None, unread_body_decoder: None }
+        Self { socket, response_memory: None, unread_body_decoder: None, upload_sender: None }
     }
 
     /// Creates an exchange whose response does not come from the handler. The rest of the body stays unread.
     pub fn without_handler(socket: &'a mut ClientSocket<'c>, body: ReceivedBody) -> Self {
-        Self { socket, response_memory: None, unread_body_decoder: body.content.into_decoder() }
+        Self { unread_body_decoder: body.content.into_decoder(), ..Self::new(socket) }
     }
 
     /// Returns whether the connection must close after the response, because the client may still send the rest of a body
@@ -111,10 +116,14 @@
                 request.handler.request_body_received(&request.id);
                 Ok(None)
             }
-            UploadOutcome::ResponseArrived { response, unread_body_decoder } => {
-                let is_body_read = unread_body_decoder.is_none();
+            UploadOutcome::ResponseArrived { response, rest } => {
+                let is_body_read = rest.is_none();
                 debug!(request = ?self.socket.state.last_transaction_id.borrow(), is_body_read, "upload ended early");
-                self.unread_body_decoder = unread_body_decoder;
+                if let Some(UnfinishedUpload { decoder, sender }) = rest {
+                    let is_streamed = matches!(response, FinalResponse::Streamed { .. });
+                    self.unread_body_decoder = Some(decoder);
+                    self.upload_sender = is_streamed.then_some(sender);
+                }
                 Ok(Some(response))
             }
         }
@@ -146,9 +155,10 @@
         minor_version: u8,
     ) -> Result<Delivery, ConnectionEnd> {
         let memory = self.response_memory.take();
-        response_writer::write_response(self.socket, memory, response, keep_alive, minor_version)
-            .await
-            .map_err(|_| ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected))
+        let written =
+            response_writer::write_response(self.socket, memory, response, keep_alive, minor_version).await;
+        self.upload_sender = None;
+        written.map_err(|_| ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected))
     }
 
     /// Closes the connection. Shuts down the sending side first, so that a client that waits for the end of the
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -10,7 +10,7 @@
 use socket2::{Domain, Socket, Type};
 use std::{
     io::{BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -267,3 +267,38 @@
     let received_bytes = received.iter().filter(|byte| **byte == b'd').count();
     assert_eq!(received_bytes, BODY_BYTES);
 }
+
+/// Guards against a response that is cut off because it began before its endpoint had read the whole upload.
+#[test]
+fn response_that_begins_before_end_of_upload_is_not_cut_off() {
+    const UPLOAD_BYTES: usize = 1_000_000;
+    for framing in ResponseFraming::ALL {
+        let body_bytes = 200_000;
+        let endpoint = RawEndpoint::start(move |mut socket| {
+            if !read_past_head(&mut socket) {
+                return;
+            }
+            let data = vec![b'd'; body_bytes / 2];
+            let _ = socket.write_all(&[framing.head(body_bytes), framing.frame(&data)].concat());
+            thread::sleep(PAUSE);
+            let _ = socket.write_all(&[framing.frame(&data), framing.end()].concat());
+            let _ = socket.shutdown(Shutdown::Write);
+            let _ = socket.read_to_end(&mut Vec::new());
+        });
+        let node = start_gateway(&endpoint);
+        let request = TestRequest::at_most_once("early").with_header("X-Remaining", WAIT_HEADER);
+        let mut client = Client::connect(node.addr);
+        let mut writer = client.reader.get_ref().try_clone().expect("an open socket");
+        let writing = thread::spawn(move || {
+            let bytes = TestRequest { body: vec![b'u'; UPLOAD_BYTES], ..request }.to_bytes();
+            for part in bytes.chunks(50_000) {
+                let _ = writer.write_all(part);
+                thread::sleep(Duration::from_millis(40));
+            }
+        });
+        let response = client.read_response();
+        let received = response.map(|response| (response.status(), response.body.len()));
+        assert_eq!(received, Some((200, body_bytes)), "{framing:?}");
+        writing.join().expect("no panic");
+    }
+}
