Let a client write a long upload as fast as its endpoint takes it

Cause: the wait counts from the client's last byte, whose time the gateway bounded only by marks of 5 MiB. Change: while more of a body of known length is missing than the systems' buffers can hold, the last byte cannot have been written, and the wait counts from the endpoint's last progress; an endpoint that takes nothing more still ends the request after one wait. A chunked body has no known length and keeps the marks.

--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -64,7 +64,7 @@
         request.upstream.body = match body.content {
             ReceivedContent::Complete(bytes) => RequestBody::Buffered(bytes),
             ReceivedContent::Partial { received, decoder, length } => {
-                let arrival = Rc::new(BodyArrival::new(self.socket.last_awaited_at));
+                let arrival = Rc::new(BodyArrival::new(self.socket.last_awaited_at, length));
                 let (sender, body) = RequestBody::streamed(length, arrival.clone());
                 upload = Some(BodyUpload { sender, arrival, pending: received, decoder });
                 body
--- a/src/node/wire/body_arrival.rs
+++ b/src/node/wire/body_arrival.rs
@@ -42,7 +42,12 @@
     phase: Cell<Phase>,
     /// Time at which the gateway last received bytes for which it had waited.
     last_awaited_at: Cell<Instant>,
+    /// Length of the complete body in bytes; `None` if it is not known.
+    length: Option<usize>,
     forwarded_bytes: Cell<usize>,
+    /// Last time at which bytes were forwarded while the rest was longer than [`MAX_UNREAD_BYTES`], or the beginning of
+    /// the body. Used if the length is known.
+    rest_was_long_at: Cell<Instant>,
     newer_mark: Cell<Mark>,
     /// Mark that is at least [`MAX_UNREAD_BYTES`] behind, or the beginning of the body.
     older_mark: Cell<Mark>,
@@ -53,10 +58,13 @@
 }
 
 impl BodyArrival {
-    /// Creates the arrival of a body of which the gateway received the first bytes, or the head, at `now`.
-    pub fn new(now: Instant) -> Self {
+    /// Creates the arrival of a body of this length, if it is known, of which the gateway received the first bytes, or the
+    /// head, at `now`.
+    pub fn new(now: Instant, length: Option<usize>) -> Self {
         let beginning = Mark { at: now, forwarded_bytes: 0 };
         Self {
+            length,
+            rest_was_long_at: Cell::new(now),
             phase: Cell::new(Phase::Backlogged),
             last_awaited_at: Cell::new(now),
             forwarded_bytes: Cell::new(0),
@@ -82,6 +90,9 @@
     pub fn record_forwarded(&self, bytes: usize, now: Instant) {
         let forwarded_bytes = self.forwarded_bytes.get() + bytes;
         self.forwarded_bytes.set(forwarded_bytes);
+        if self.had_long_rest(bytes) {
+            self.rest_was_long_at.set(now);
+        }
         let newer_mark = self.newer_mark.get();
         if forwarded_bytes - newer_mark.forwarded_bytes >= MAX_UNREAD_BYTES {
             self.older_mark.set(newer_mark);
@@ -89,6 +100,12 @@
         }
     }
 
+    /// Returns whether, before these last bytes were forwarded, more was missing than the buffers can hold.
+    fn had_long_rest(&self, bytes: usize) -> bool {
+        let forwarded_before = self.forwarded_bytes.get() - bytes;
+        self.length.is_some_and(|length| length.saturating_sub(forwarded_before) > MAX_UNREAD_BYTES)
+    }
+
     /// Records that an attempt begins to send the body.
     pub fn mark_taken(&self) {
         self.is_taken.set(true);
@@ -118,12 +135,18 @@
     }
 
     /// Returns the earliest time at which the client can have written the last byte; `None` while it has not, because
-    /// the gateway waits for more bytes.
+    /// the gateway waits for more bytes. A body of which more is missing than the buffers can hold is treated as written
+    /// if the endpoint takes nothing more of it.
     pub fn earliest_end(&self) -> Option<Instant> {
-        match self.phase.get() {
-            Phase::AwaitingClient => None,
-            Phase::Backlogged => Some(self.last_awaited_at.get().max(self.older_mark.get().at)),
+        if self.phase.get() == Phase::AwaitingClient {
+            return None;
         }
+        let last_awaited_at = self.last_awaited_at.get();
+        let not_before = match self.length {
+            Some(_) => self.rest_was_long_at.get(),
+            None => self.older_mark.get().at,
+        };
+        Some(last_awaited_at.max(not_before))
     }
 }
 
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -302,3 +302,29 @@
         writing.join().expect("no panic");
     }
 }
+
+/// Guards against a long upload that is cut off at the client's wait while its client is still writing it, because the
+/// endpoint takes it slowly.
+#[test]
+fn upload_that_client_still_writes_is_not_cut_off() {
+    const BODY_BYTES: usize = 24_000_000;
+    const BYTES_PER_SECOND: usize = 4_000_000;
+    let endpoint = RawEndpoint::start(|mut socket| {
+        let mut body_bytes = 0;
+        let mut buffer = vec![0; 40_000];
+        let is_read = read_past_head(&mut socket);
+        let started_at = Instant::now();
+        while is_read && body_bytes < BODY_BYTES {
+            let Ok(count @ 1..) = socket.read(&mut buffer) else { return };
+            body_bytes += count;
+            let due = Duration::from_secs_f64(body_bytes as f64 / BYTES_PER_SECOND as f64);
+            thread::sleep(due.saturating_sub(started_at.elapsed()));
+        }
+        let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    let node = start_gateway(&endpoint);
+    let mut request = TestRequest::at_most_once("long").with_header("X-Remaining", WAIT_HEADER);
+    request.body = vec![b'u'; BODY_BYTES];
+    let answer = send(node.addr, &request);
+    assert_eq!(answer.status, Some(200), "{answer:?}");
+}
--- a/tests/unit/body_arrival.rs
+++ b/tests/unit/body_arrival.rs
@@ -11,7 +11,7 @@
 #[test]
 fn last_byte_may_have_been_written_with_first_while_bytes_wait_unread() {
     let start = Instant::now();
-    let arrival = BodyArrival::new(start);
+    let arrival = BodyArrival::new(start, None);
     arrival.record_forwarded(100_000, after(start, 900));
     assert_eq!(arrival.earliest_end(), Some(start));
     // A read that did not wait changes nothing.
@@ -24,7 +24,7 @@
 #[test]
 fn wait_does_not_begin_while_client_is_awaited() {
     let start = Instant::now();
-    let arrival = BodyArrival::new(start);
+    let arrival = BodyArrival::new(start, None);
     arrival.await_client();
     assert_eq!(arrival.earliest_end(), None);
     arrival.end_wait(after(start, 5000));
@@ -37,7 +37,7 @@
 #[test]
 fn client_may_be_gone_once_its_close_was_hidden_too_long() {
     let start = Instant::now();
-    let arrival = BodyArrival::new(start);
+    let arrival = BodyArrival::new(start, None);
     assert!(!arrival.may_be_abandoned(after(start, 10_000)));
     arrival.hide_close(start);
     arrival.hide_close(after(start, 70));
@@ -51,7 +51,7 @@
 #[test]
 fn last_byte_is_at_most_as_old_as_bytes_that_buffers_can_hold() {
     let start = Instant::now();
-    let arrival = BodyArrival::new(start);
+    let arrival = BodyArrival::new(start, None);
     let half = MAX_UNREAD_BYTES / 2;
     for step in 1..=12 {
         arrival.record_forwarded(half, after(start, step * 100));
@@ -61,3 +61,18 @@
         assert_eq!(earliest_end, after(start, expected_step * 100), "step {step}");
     }
 }
+
+/// Guards against a long body of known length that is cut off while its client still writes it, and against one that has no
+/// answer because its endpoint takes nothing more.
+#[test]
+fn last_byte_follows_progress_while_more_is_missing_than_buffers_can_hold() {
+    let start = Instant::now();
+    let arrival = BodyArrival::new(start, Some(MAX_UNREAD_BYTES + 1000));
+    assert_eq!(arrival.earliest_end(), Some(start));
+    arrival.record_forwarded(999, after(start, 1000));
+    assert_eq!(arrival.earliest_end(), Some(after(start, 1000)));
+    arrival.record_forwarded(1, after(start, 2000));
+    assert_eq!(arrival.earliest_end(), Some(after(start, 2000)));
+    arrival.record_forwarded(MAX_UNREAD_BYTES, after(start, 3000));
+    assert_eq!(arrival.earliest_end(), Some(after(start, 2000)));
+}
