--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -4,7 +4,7 @@
 mod fakes;
 use fakes::{
     Client, EndpointBehaviour, FakeEndpoint, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming,
-    TestRequest, read_message, read_past_head, start_paced_writer,
+    TestRequest, endpoint_entry, read_message, read_past_head, start_paced_writer,
 };
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
@@ -328,3 +328,59 @@
     let answer = send(node.addr, &request);
     assert_eq!(answer.status, Some(200), "{answer:?}");
 }
+
+/// Guards against a response that is cut off when its endpoint starts draining, is removed or is put into maintenance.
+#[test]
+fn paused_response_survives_changes_of_the_endpoint() {
+    for change in ["DRAINING", "DELETED", "maintenance"] {
+        let framing = ResponseFraming::Length;
+        let (head, data) = (framing.head(200_000), vec![b'd'; 200_000]);
+        let response = [head, data].concat();
+        let response = split_response(change.to_owned(), 200_000, &response, 100);
+        let endpoint = start_paced_writer(response.parts);
+        let (mut builder, discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+        let node = builder.operator_address().start();
+        let mut client = Client::connect(node.addr);
+        client.send(&TestRequest::at_most_once("changed"));
+        thread::sleep(PAUSE / 4);
+        if change == "maintenance" {
+            assert_eq!(node.operator_call("PUT /workers/w0/maint").status(), 200);
+        } else {
+            let version = discovery.update_entry(endpoint_entry("w0", endpoint.addr, change));
+            discovery.wait_until_applied(version);
+        }
+        let answer = client.read_response().map(|response| (response.status(), response.body.len()));
+        assert_eq!(answer, Some((200, 200_000)), "{change}");
+    }
+}
+
+/// Guards against a request that is cut off because its client pauses within the head or the body.
+#[test]
+fn request_with_pause_of_client_is_not_cut_off() {
+    const CLIENT_PAUSE: Duration = Duration::from_millis(2000);
+    let endpoint = FakeEndpoint::start(EndpointBehaviour::Respond("ok"));
+    let (builder, _discovery) = NodeBuilder::new(&[&endpoint]);
+    let node = builder.start();
+    let gateway = node.addr;
+    let clients: Vec<_> = [(6, 40), (6, 300), (200_000, 100_000), (900_000, 400_000), (900_000, 899_999)]
+        .into_iter()
+        .map(|(body_bytes, position)| {
+            thread::spawn(move || {
+                let mut request = TestRequest::at_most_once(&format!("paused{body_bytes}-{position}"));
+                request.body = vec![b'u'; body_bytes];
+                let bytes = request.to_bytes();
+                let mut client = Client::connect(gateway);
+                let (beginning, rest) = bytes.split_at(position.min(bytes.len() - 1));
+                let writer = client.reader.get_mut();
+                let is_written = writer.write_all(beginning).is_ok() && {
+                    thread::sleep(CLIENT_PAUSE);
+                    writer.write_all(rest).is_ok()
+                };
+                let status = client.read_response().map(|response| response.status());
+                (body_bytes, position, is_written, status)
+            })
+        })
+        .collect();
+    let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    assert!(answers.iter().all(|(_, _, _, status)| *status == Some(200)), "{answers:?}");
+}
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -2,8 +2,8 @@
 
 mod fakes;
 use fakes::{
-    Client, EndpointBehaviour, FakeEndpoint, Gate, NodeBuilder, RawEndpoint, ResponseFraming, TestRequest,
-    read_message,
+    Client, EndpointBehaviour, FakeEndpoint, Gate, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming,
+    TestRequest, read_message, start_paced_writer,
 };
 use std::{
     io::{BufReader, Write},
@@ -139,3 +139,25 @@
     assert!(!taken.is_empty());
     assert!(taken.iter().all(|(_, status)| status.is_some()), "exit at {ended_at:?}: {taken:?}");
 }
+
+/// Guards against a response that is cut off while its endpoint still writes it, because the gateway is shutting down.
+#[test]
+fn response_that_endpoint_writes_slowly_is_complete_in_shutdown() {
+    const BODY_BYTES: usize = 300_000;
+    for framing in ResponseFraming::ALL {
+        let data = framing.frame(&vec![b'd'; BODY_BYTES]);
+        let response = [framing.head(BODY_BYTES), data, framing.end()].concat();
+        let parts = response.chunks(response.len().div_ceil(SLOW_PARTS));
+        let parts = parts.map(|bytes| PacedPart { pause: SLOW_PART_PAUSE, bytes: bytes.to_vec() }).collect();
+        let endpoint = start_paced_writer(parts);
+        let (builder, _discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+        let mut node = builder.start();
+        let mut client = node.connect();
+        client.send(&TestRequest::at_most_once("slow"));
+        thread::sleep(TERMINATE_AFTER);
+        node.terminate();
+        let received = client.read_response().map(|response| (response.status(), response.body.len()));
+        assert_eq!(received, Some((200, BODY_BYTES)), "{framing:?}");
+        assert!(node.wait_for_exit().success());
+    }
+}
