Count a client's wait from when its request can have arrived in a hold-up

Cause: the wait counted from when the process read the last byte, and a deadline that expired while the client seemed to be writing was checked again only after another wait. Change: a monitor notices that the process was held up for over 0.25 s; input found after that counts as arrived when the process last ran. An expired limit of a client that is awaited is checked every 50 ms.

--- a/src/node/connection/clients/context.rs
+++ b/src/node/connection/clients/context.rs
@@ -1,13 +1,16 @@
 //! State shared by the connections of all clients.
 
 use crate::node::{
-    connection::{body_memory::BodyMemory, clients::handler::RequestHandler},
+    connection::{
+        body_memory::BodyMemory,
+        clients::{handler::RequestHandler, hold_up::HoldUpMonitor},
+    },
     hot_restart::replica_counts::ReplicaCounts,
     metrics::Metrics,
 };
 use hyper::StatusCode;
 use oliverack::Options;
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Instant};
 
 /// State shared by the connections of all clients.
 pub struct ConnectionContext {
@@ -21,6 +24,8 @@
     pub replica_counts: Rc<ReplicaCounts>,
     /// Memory budget for bodies and streams.
     pub memory: Rc<BodyMemory>,
+    /// Monitor that dates input which arrived while the process was held up.
+    pub hold_ups: HoldUpMonitor,
     /// True if a shutdown has begun; each response then closes its connection.
     pub is_stopping: Cell<bool>,
     /// True if no time is left to answer further requests before the process ends.
@@ -37,7 +42,8 @@
         memory: Rc<BodyMemory>,
     ) -> Self {
         let (is_stopping, rejects_requests) = (Cell::new(false), Cell::new(false));
-        Self { handler, options, metrics, replica_counts, memory, is_stopping, rejects_requests }
+        let hold_ups = HoldUpMonitor::new(Instant::now());
+        Self { handler, options, metrics, replica_counts, memory, hold_ups, is_stopping, rejects_requests }
     }
 
     /// Returns the status of the health check for load balancers in front of the gateway.
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -22,7 +22,7 @@
 };
 use bytes::BytesMut;
 use oliverack::RequestId;
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 use tokio::{
     sync::{mpsc, oneshot},
     task::yield_now,
@@ -73,7 +73,8 @@
                 body
             }
         };
-        let Some((id, response_receiver)) = handler.accept(request, body.memory) else {
+        let received_at = self.socket.context.hold_ups.earliest_arrival(Instant::now());
+        let Some((id, response_receiver)) = handler.accept(request, body.memory, received_at) else {
             self.unread_body_decoder = upload.map(|upload| upload.decoder);
             return None;
         };
--- a/src/node/connection/clients/handler.rs
+++ b/src/node/connection/clients/handler.rs
@@ -10,6 +10,7 @@
 };
 use hyper::StatusCode;
 use oliverack::{RejectionReason, RequestId};
+use std::time::Instant;
 use tokio::sync::oneshot;
 
 /// The final response to a request; each request gets exactly one.
@@ -76,11 +77,12 @@
 /// Processes clients' requests.
 pub trait RequestHandler {
     /// Accepts a request and returns the receiver of the final response. `body_memory` is the reservation for the
-    /// request's body. Returns `None` if a request with the same transaction id is open.
+    /// request's body. A body that is complete had arrived by `received_at`, from which the client's wait counts. Returns `None` if a request with the same transaction id is open.
     fn accept(
         &self,
         request: ClientRequest,
         body_memory: MemoryPermit,
+        received_at: Instant,
     ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)>;
     /// Reports that the last byte of a streamed request body has arrived, which starts the request's deadline and the
     /// timeouts of its attempts.
--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -11,7 +11,7 @@
     cell::{Cell, RefCell},
     io,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -150,6 +150,7 @@
     pub async fn enforce_time_limits(self: Rc<Self>) {
         loop {
             sleep(timeouts::CHECK_INTERVAL).await;
+            self.context.hold_ups.tick(Instant::now());
             timeouts::enforce(&self.connections.borrow(), &self.context.metrics.cuts);
         }
     }
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -47,7 +47,7 @@
     buffer_memory: MemoryPermit,
     /// True if input behind the current request was discarded, so that the connection can't carry another request.
     pub is_input_discarded: bool,
-    /// Time at which bytes of a request last arrived after the gateway had read all bytes before them.
+    /// Earliest time at which the bytes of a request can have arrived that the gateway last waited for.
     pub last_awaited_at: Instant,
 }
 
@@ -78,7 +78,7 @@
         let buffer_memory = context.memory.empty_permit();
         // A failure leaves the system's default, of which little is used before the gateway reads.
         let _ = SockRef::from(&tcp).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
-        let last_awaited_at = Instant::now();
+        let last_awaited_at = context.hold_ups.earliest_arrival(Instant::now());
         Self {
             context,
             tcp,
@@ -133,7 +133,7 @@
                 Ok(count) => {
                     self.state.record_read(count);
                     if has_waited {
-                        self.last_awaited_at = Instant::now();
+                        self.last_awaited_at = self.context.hold_ups.earliest_arrival(Instant::now());
                     }
                     return Ok(());
                 }
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -219,8 +219,8 @@
         let now = self.clock.now();
         let Some(due) = request.attempt_due_at(number, now) else { return };
         if due > now {
-            let due = due.max(now + MIN_REARM_DELAY);
-            let timer = self.timers.set(due, TimerPurpose::Attempt(request_id.clone(), number));
+            let check_at = request.next_check(due, now).max(now + MIN_REARM_DELAY);
+            let timer = self.timers.set(check_at, TimerPurpose::Attempt(request_id.clone(), number));
             if let Some(attempt) = request.attempt_mut(number) {
                 attempt.timeout_timer = Some(timer);
             }
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -14,6 +14,9 @@
 use tokio::{sync::oneshot, task::AbortHandle};
 use tracing::debug;
 
+/// Interval at which an expired time limit is checked while the client is awaited.
+const WAIT_CHECK_INTERVAL: Seconds = 0.05;
+
 /// An attempt that has not ended.
 pub struct InFlightAttempt {
     /// Endpoint that the attempt is sent to.
@@ -205,6 +208,12 @@
         Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
     }
 
+    /// Returns the time at which a time limit that is now due at `due` is checked again. While the client is awaited the
+    /// limit moves on with `now`, but it may turn out that the last byte had arrived before `now`.
+    pub fn next_check(&self, due: Time, now: Time) -> Time {
+        if self.wait_started_at.is_some() { due } else { due.min(now + WAIT_CHECK_INTERVAL) }
+    }
+
     /// Sets the timer of the deadline.
     pub fn set_deadline_timer(&mut self, timer: TimerKey) {
         self.deadline_timer = Some(timer);
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -16,7 +16,7 @@
     wire::{client_request::ClientRequest, stream::RequestBody},
 };
 use oliverack::{Class, Effect, Event, RejectionReason, Request, RequestId, Seconds};
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 use tokio::sync::oneshot;
 use tracing::debug;
 
@@ -88,7 +88,8 @@
         let now = self.clock.now();
         let due = request.deadline(now) + DEADLINE_GRACE;
         if due > now {
-            request.set_deadline_timer(self.timers.set(due, TimerPurpose::Deadline(request_id)));
+            let check_at = request.next_check(due, now);
+            request.set_deadline_timer(self.timers.set(check_at, TimerPurpose::Deadline(request_id)));
             return;
         }
         drop(request);
@@ -123,10 +124,12 @@
         &self,
         request: ClientRequest,
         body_memory: MemoryPermit,
+        received_at: Instant,
     ) -> Option<(RequestId, oneshot::Receiver<FinalResponse>)> {
         let request_id = self.table.reserve_id(&request.upstream.transaction_id)?;
         debug!(request = ?request.upstream.transaction_id, customer = request.customer, class = request.class, "request accepted");
-        let deadline = self.clock.now() + request.remaining_seconds;
+        let received_at = self.clock.time(received_at);
+        let deadline = received_at + request.remaining_seconds;
         let (response, receiver) = oneshot::channel();
         let upstream = Rc::new(request.upstream);
         let mut open_request = OpenRequest::new(response, upstream.clone(), request.remaining_seconds);
@@ -136,10 +139,10 @@
         }
         let purpose = TimerPurpose::Deadline(request_id.clone());
         open_request.set_deadline_timer(self.timers.set(deadline + DEADLINE_GRACE, purpose));
-        self.table.insert(request_id.clone(), open_request);
         if matches!(upstream.body, RequestBody::Buffered(_)) {
-            self.request_body_received(&request_id);
+            open_request.mark_received(received_at);
         }
+        self.table.insert(request_id.clone(), open_request);
         self.policy.post(Event::Request(Request {
             id: request_id.clone(),
             units: request.units,
--- a/tests/fakes/node.rs
+++ b/tests/fakes/node.rs
@@ -116,6 +116,16 @@
         assert!(status.success());
     }
 
+    /// Sends SIGSTOP, so that the process gets no processor time until [`resume`](Self::resume).
+    pub fn stop(&self) {
+        self.send_signal("-STOP");
+    }
+
+    /// Sends SIGCONT.
+    pub fn resume(&self) {
+        self.send_signal("-CONT");
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.send_signal("-TERM");
