--- a/tests/abandoned_requests.rs
+++ b/tests/abandoned_requests.rs
@@ -98,3 +98,52 @@
         }
     }
 }
+
+/// Guards against a retry for a client that has left while the process was held up, together with the end of the attempt.
+#[test]
+fn request_is_not_retried_after_close_during_hold_up() {
+    const HOLD_UP: Duration = Duration::from_millis(200);
+    for (unread_bytes, closes_first) in
+        [(0, true), (0, false), (50_000, true), (50_000, false), (1_000_000, false)]
+    {
+        let gate = Arc::new(Gate::default());
+        let endpoints = [0, 1].map(|_| FakeEndpoint::start(EndpointBehaviour::Respond("ok")));
+        let (builder, _discovery) = NodeBuilder::new(&[&endpoints[0], &endpoints[1]]);
+        let node = builder.start();
+        // A retry on an idle connection needs no time to connect.
+        for number in 0..12 {
+            assert_eq!(node.send_request(&TestRequest::new(&format!("warm{number}"))).status(), 200);
+        }
+        for endpoint in &endpoints {
+            endpoint.drain_requests();
+            endpoint.set_behaviour(EndpointBehaviour::CloseAfter(gate.clone()));
+        }
+        let mut client = client_with_large_send_buffer(&node);
+        client.send(&TestRequest::new("first"));
+        while endpoints.iter().map(|endpoint| endpoint.drain_requests().len()).sum::<usize>() == 0 {
+            thread::sleep(Duration::from_millis(1));
+        }
+        node.stop();
+        let mut leave = Some(client);
+        let mut close_client = || {
+            let mut client = leave.take().expect("one close");
+            client.reader.get_mut().write_all(&pipelined_requests(unread_bytes)).expect("room for all");
+        };
+        for endpoint in &endpoints {
+            endpoint.set_behaviour(EndpointBehaviour::Respond("ok"));
+        }
+        if closes_first {
+            close_client();
+            gate.open();
+        } else {
+            gate.open();
+            thread::sleep(Duration::from_millis(20));
+            close_client();
+        }
+        thread::sleep(HOLD_UP);
+        node.resume();
+        thread::sleep(HOLD_UP);
+        let retries: usize = endpoints.iter().map(|endpoint| endpoint.drain_requests().len()).sum();
+        assert_eq!(retries, 0, "{unread_bytes} bytes unread, client closes first: {closes_first}");
+    }
+}
