--- a/tests/fakes/node.rs
+++ b/tests/fakes/node.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Returns the lines of the log that were written since it was last read.
+    pub fn take_log(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     fn send_signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args([signal, &pid]).status().expect("kill runs");
--- a/tests/soak/endpoints.rs
+++ b/tests/soak/endpoints.rs
@@ -36,6 +36,14 @@
     "turned away",
 ];
 
+/// First seed of the runs in which endpoints also pause within their responses.
+pub const FIRST_PAUSING_SEED: u64 = 1000;
+/// What an endpoint does besides in these runs: it pauses once within a complete response.
+pub const PAUSING_BEHAVIOURS: [&str; 4] =
+    ["late body", "pause in head", "pause in short body", "early response"];
+/// Length of such a pause: longer than the latency objective of these runs, shorter than any client's wait.
+pub const PAUSE: Duration = Duration::from_millis(250);
+
 /// Endpoint that decides by the seed and the request's id what it does.
 pub struct SoakEndpoint {
     pub addr: SocketAddr,
@@ -71,6 +79,10 @@
     let id = header("x-txn")?;
     let behaviour = behaviour(seed, &id, begun_at);
     let mut attempt = Attempt { begun_at, run_at: None, behaviour };
+    if behaviour == "early response" {
+        // Half of the response is written before the request is read.
+        socket.write_all(&[response_head(200_000).as_bytes(), &[b'd'; 100_000]].concat()).ok()?;
+    }
     let body = match behaviour {
         "stops reading" => {
             thread::sleep(HOLD_TIME);
@@ -92,7 +104,16 @@
     (seed, id).hash(&mut hasher);
     // A retry comes later and must not always meet the same fault.
     let retry_salt = begun_at.elapsed().subsec_nanos() % 2;
-    BEHAVIOURS[((hasher.finish() + u64::from(retry_salt)) % BEHAVIOURS.len() as u64) as usize]
+    let number = hasher.finish() + u64::from(retry_salt);
+    if seed < FIRST_PAUSING_SEED {
+        return BEHAVIOURS[(number % BEHAVIOURS.len() as u64) as usize];
+    }
+    let behaviours: Vec<&str> = BEHAVIOURS.into_iter().chain(PAUSING_BEHAVIOURS).collect();
+    behaviours[(number % behaviours.len() as u64) as usize]
+}
+
+fn response_head(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n")
 }
 
 fn read_body(socket: &mut TcpStream, header: &impl Fn(&str) -> Option<String>) -> Option<()> {
@@ -126,7 +147,7 @@
 
 /// Responds with a fault or without; returns `None` if the connection must end.
 fn respond(socket: &mut TcpStream, behaviour: &'static str) -> Option<()> {
-    let sized = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    let sized = response_head;
     match behaviour {
         "served slowly" => thread::sleep(Duration::from_millis(150)),
         "served long" => {
@@ -156,6 +177,25 @@
             thread::sleep(HOLD_TIME);
             return None;
         }
+        "late body" => {
+            socket.write_all(sized(200_000).as_bytes()).ok()?;
+            thread::sleep(PAUSE);
+            return socket.write_all(&vec![b'd'; 200_000]).ok();
+        }
+        "pause in head" => {
+            socket.write_all(b"HTTP/1.1 200 OK\r\nContent-").ok()?;
+            thread::sleep(PAUSE);
+            return socket.write_all(b"Length: 2\r\n\r\nok").ok();
+        }
+        "pause in short body" => {
+            socket.write_all((sized(4) + "ok").as_bytes()).ok()?;
+            thread::sleep(PAUSE);
+            return socket.write_all(b"ok").ok();
+        }
+        "early response" => {
+            thread::sleep(PAUSE);
+            return socket.write_all(&[b'd'; 100_000]).ok();
+        }
         "closes" => return None,
         "turned away" => {
             let rejection = b"HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/soak/gateway.rs
+++ b/tests/soak/gateway.rs
@@ -1,6 +1,9 @@
 //! The gateway of a soak: one process, or two during a hot restart, on a listening socket that outlives them.
 
-use crate::fakes::{FakeDiscovery, LaunchOptions, Node, NodeBuilder, TempDir};
+use crate::{
+    fakes::{FakeDiscovery, LaunchOptions, Node, NodeBuilder, TempDir},
+    record::Violation,
+};
 use serde_json::json;
 use std::{
     net::{SocketAddr, TcpListener},
@@ -23,21 +26,25 @@
     folder: TempDir,
     nodes: Vec<Node>,
     started_at: Instant,
-    violations: Vec<String>,
+    violations: Vec<Violation>,
+    /// Log of the processes that have ended.
+    log: Vec<String>,
     _discovery: FakeDiscovery,
 }
 
 impl SoakGateway {
-    pub fn start(endpoints: &[SocketAddr]) -> Self {
+    /// Starts a gateway. With `has_short_objective`, responses are worth nothing after an objective that is shorter than the
+    /// endpoints' pauses.
+    pub fn start(endpoints: &[SocketAddr], has_short_objective: bool) -> Self {
         let (mut builder, discovery) = NodeBuilder::with_addresses(endpoints);
         builder.operator_address();
         builder.max_sockets(512);
         let class = json!({"Name": "change", "Effect": "deduplicated", "Group": "all", "Window": 1.5});
         builder.settings["Classes"].as_array_mut().expect("classes").push(class);
         for class in builder.settings["Classes"].as_array_mut().expect("classes") {
-            class["Slo"] = json!(0.8);
+            class["Slo"] = json!(if has_short_objective { 0.2 } else { 0.8 });
             class["Deadline"] = json!(LONGEST_DEADLINE);
-            class["LateWorth"] = json!(0.2);
+            class["LateWorth"] = json!(if has_short_objective { 0.0 } else { 0.2 });
         }
         let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let mut gateway = Self {
@@ -47,6 +54,7 @@
             nodes: Vec::new(),
             started_at: Instant::now(),
             violations: Vec::new(),
+            log: Vec::new(),
             _discovery: discovery,
         };
         gateway.start_process();
@@ -72,6 +80,7 @@
         let options = LaunchOptions {
             listener: Some(&self.socket),
             temp_dir: Some(&self.folder.path),
+            log_setting: Some("debug"),
             ..LaunchOptions::default()
         };
         let node = self.builder.start_with_config(&self.config(), &options);
@@ -106,28 +115,40 @@
         }
         let mut predecessor = self.nodes.remove(0);
         match predecessor.child.try_wait().expect("a child") {
-            Some(status) if !status.success() => self.violations.push(format!("crash: {status}")),
+            Some(status) if !status.success() => self.add_violation(format!("crash: {status}")),
             _ => {}
         }
-        drop(predecessor);
+        self.log.extend(predecessor.take_log());
+    }
+
+    fn add_violation(&mut self, description: String) {
+        self.violations.push(Violation { request_id: None, description });
+    }
+
+    /// Returns the lines of the log about a request.
+    pub fn log_of(&mut self, request_id: &str) -> Vec<&str> {
+        let new_lines: Vec<String> = self.nodes.iter().flat_map(Node::take_log).collect();
+        self.log.extend(new_lines);
+        let field = format!("\"{request_id}\"");
+        self.log.iter().filter(|line| line.contains(&field)).map(String::as_str).collect()
     }
 
     /// Records the memory of all processes together if it is over the limit.
     fn look_at_memory(&mut self) {
         let bytes: usize = self.nodes.iter().filter_map(Node::memory_bytes).sum();
         if bytes > MEMORY_MB << 20 {
-            self.violations.push(format!("memory: {bytes} bytes"));
+            self.add_violation(format!("memory: {bytes} bytes"));
         }
     }
 
-    /// Returns the rules that the gateway itself has broken, one line each.
-    pub fn violations(mut self) -> Vec<String> {
+    /// Returns the rules that the gateway itself has broken.
+    pub fn violations(&mut self) -> Vec<Violation> {
         self.look_at_memory();
-        for node in &mut self.nodes {
-            if let Some(status) = node.child.try_wait().expect("a child") {
-                self.violations.push(format!("crash: {status}"));
-            }
+        let ended = |node: &mut Node| node.child.try_wait().expect("a child");
+        let crashes: Vec<_> = self.nodes.iter_mut().filter_map(ended).collect();
+        for status in crashes {
+            self.add_violation(format!("crash: {status}"));
         }
-        self.violations
+        std::mem::take(&mut self.violations)
     }
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -13,9 +13,9 @@
 mod record;
 
 use clients::{run_client, run_crowd};
-use endpoints::SoakEndpoint;
+use endpoints::{FIRST_PAUSING_SEED, SoakEndpoint};
 use gateway::SoakGateway;
-use record::Record;
+use record::{Record, Violation};
 use std::{
     env,
     ops::RangeInclusive,
@@ -33,23 +33,23 @@
 const RUN_TIME: Duration = Duration::from_millis(6500);
 /// Time after which the hot restart begins, in the runs that have one.
 const RESTART_AT: Duration = Duration::from_millis(1500);
-/// Seeds that run by default.
-const DEFAULT_SEEDS: RangeInclusive<u64> = 1..=4;
+/// Seeds that run by default: with and without pauses of the endpoints.
+const DEFAULT_SEEDS: [RangeInclusive<u64>; 2] = [1..=4, FIRST_PAUSING_SEED + 1..=FIRST_PAUSING_SEED + 2];
 
 /// Returns the seeds that the environment names.
-fn seeds() -> RangeInclusive<u64> {
-    let Ok(text) = env::var("SOAK_SEEDS") else { return DEFAULT_SEEDS };
+fn seeds() -> Vec<u64> {
+    let Ok(text) = env::var("SOAK_SEEDS") else { return DEFAULT_SEEDS.into_iter().flatten().collect() };
     let (first, last) = text.split_once('-').expect("SOAK_SEEDS=A-B");
-    first.parse().expect("a number")..=last.parse().expect("a number")
+    (first.parse().expect("a number")..=last.parse().expect("a number")).collect()
 }
 
-/// Runs one seed and returns the rules that were broken, one line each.
-fn run_seed(seed: u64) -> Vec<String> {
+/// Runs one seed and returns the rules that were broken. Prints the gateway's log of each request concerned.
+fn run_seed(seed: u64) -> Vec<Violation> {
     let record = Arc::new(Record::default());
     let endpoints: Vec<SoakEndpoint> =
         (0..ENDPOINTS).map(|_| SoakEndpoint::start(seed, record.clone())).collect();
     let addresses: Vec<_> = endpoints.iter().map(|endpoint| endpoint.addr).collect();
-    let mut gateway = SoakGateway::start(&addresses);
+    let mut gateway = SoakGateway::start(&addresses, seed >= FIRST_PAUSING_SEED);
     let has_restart = seed % 4 != 0;
     let has_crowd = seed % 3 == 0;
     let is_over = Arc::new(AtomicBool::new(false));
@@ -75,6 +75,11 @@
     }
     let mut violations = record.violations();
     violations.extend(gateway.violations());
+    for request_id in violations.iter().filter_map(|violation| violation.request_id.as_ref()) {
+        for line in gateway.log_of(request_id) {
+            eprintln!("seed {seed}, log: {line}");
+        }
+    }
     eprintln!("seed {seed}, restart {has_restart}, crowd {has_crowd}: {}", record.summary());
     violations
 }
@@ -86,8 +91,8 @@
     let mut failed = Vec::new();
     for seed in seeds() {
         for violation in run_seed(seed) {
-            eprintln!("seed {seed}: {violation}");
-            failed.push(format!("seed {seed}: {violation}"));
+            eprintln!("seed {seed}: {}", violation.description);
+            failed.push(format!("seed {seed}: {}", violation.description));
         }
     }
     assert!(failed.is_empty(), "{} violations: {failed:#?}", failed.len());
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -1,5 +1,6 @@
 //! What clients and endpoints saw, and the rules that it must keep.
 
+use crate::endpoints::{PAUSE, PAUSING_BEHAVIOURS};
 use std::{
     collections::HashMap,
     sync::Mutex,
@@ -14,6 +15,9 @@
 /// Time for which endpoints drop repeats by an idempotency key.
 pub const KEY_WINDOW: Duration = Duration::from_millis(1500);
 
+/// Time from the data of an endpoint to the client.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
+
 /// Effect of running a request again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Effect {
@@ -71,6 +75,20 @@
     pub behaviour: &'static str,
 }
 
+/// A rule that was broken.
+#[derive(Debug)]
+pub struct Violation {
+    /// Request that the rule was broken for; `None` if it concerns the gateway itself.
+    pub request_id: Option<String>,
+    pub description: String,
+}
+
+impl Violation {
+    fn of_request(request: &ClientEvent, description: String) -> Self {
+        Self { request_id: Some(request.id.clone()), description }
+    }
+}
+
 /// Everything that clients and endpoints saw in one run.
 #[derive(Default)]
 pub struct Record {
@@ -107,11 +125,11 @@
         )
     }
 
-    /// Returns the rules that were broken, one line each.
-    pub fn violations(&self) -> Vec<String> {
+    /// Returns the rules that were broken.
+    pub fn violations(&self) -> Vec<Violation> {
         let requests = self.requests.lock().expect("not poisoned");
         let attempts = self.attempts.lock().expect("not poisoned");
-        let mut violations: Vec<String> = requests.iter().filter_map(lost_request).collect();
+        let mut violations: Vec<Violation> = requests.iter().filter_map(lost_request).collect();
         let mut by_id: HashMap<&str, Vec<&ClientEvent>> = HashMap::new();
         for request in requests.iter() {
             by_id.entry(&request.id).or_default().push(request);
@@ -120,12 +138,13 @@
             let Some(attempts) = attempts.get(id) else { continue };
             violations.extend(repeated_request(events[0], attempts));
             violations.extend(abandoned_request(&events, attempts));
+            violations.extend(cut_off_request(&events, attempts));
         }
         violations
     }
 }
 
-fn lost_request(request: &ClientEvent) -> Option<String> {
+fn lost_request(request: &ClientEvent) -> Option<Violation> {
     let written_at = request.written_at?;
     let elapsed = request.ended_at - written_at.min(request.ended_at);
     let is_lost = match request.outcome {
@@ -134,11 +153,14 @@
         Outcome::Silent => true,
         Outcome::Left => false,
     };
-    is_lost.then(|| format!("lost: {} ended {elapsed:?} after the last byte", request.describe()))
+    is_lost.then(|| {
+        let description = format!("lost: {} ended {elapsed:?} after the last byte", request.describe());
+        Violation::of_request(request, description)
+    })
 }
 
 /// Checks that a request ran at most once, or again only while endpoints drop repeats.
-fn repeated_request(request: &ClientEvent, attempts: &[Attempt]) -> Option<String> {
+fn repeated_request(request: &ClientEvent, attempts: &[Attempt]) -> Option<Violation> {
     let mut runs: Vec<Instant> = attempts.iter().filter_map(|attempt| attempt.run_at).collect();
     runs.sort();
     let (first, last) = (*runs.first()?, *runs.last()?);
@@ -150,15 +172,32 @@
     let behaviours: Vec<&str> = attempts.iter().map(|attempt| attempt.behaviour).collect();
     is_repeated.then(|| {
         let (runs, time) = (runs.len(), last - first);
-        format!("duplicate: {runs} runs in {time:?} of {}, endpoints {behaviours:?}", request.describe())
+        let request_description = request.describe();
+        let description =
+            format!("duplicate: {runs} runs in {time:?} of {request_description}, endpoints {behaviours:?}");
+        Violation::of_request(request, description)
     })
 }
 
 /// Checks that no attempt began after the client had left for good.
-fn abandoned_request(events: &[&ClientEvent], attempts: &[Attempt]) -> Option<String> {
+fn abandoned_request(events: &[&ClientEvent], attempts: &[Attempt]) -> Option<Violation> {
     let has_left = events.iter().all(|event| event.outcome == Outcome::Left);
     let left_at = events.iter().map(|event| event.ended_at).max().filter(|_| has_left)?;
     let late = attempts.iter().find(|attempt| attempt.begun_at > left_at + CLOSE_LIMIT)?;
     let delay = late.begun_at - left_at;
-    Some(format!("abandoned: an attempt {delay:?} after the close of {}", events[0].describe()))
+    let description = format!("abandoned: an attempt {delay:?} after the close of {}", events[0].describe());
+    Some(Violation::of_request(events[0], description))
+}
+
+/// Checks that a response which its only endpoint gave in time, with a pause, reached the client.
+fn cut_off_request(events: &[&ClientEvent], attempts: &[Attempt]) -> Option<Violation> {
+    let ([event], [attempt]) = (events, attempts) else { return None };
+    let first_data_at = attempt.run_at? + PAUSE;
+    let is_in_time = first_data_at + DELIVERY_TIME < event.written_at? + event.wait;
+    let is_served = matches!(event.outcome, Outcome::Answered(200) | Outcome::Left);
+    let is_cut = PAUSING_BEHAVIOURS.contains(&attempt.behaviour) && is_in_time && !is_served;
+    is_cut.then(|| {
+        let description = format!("cut off: {} at an endpoint with {}", event.describe(), attempt.behaviour);
+        Violation::of_request(event, description)
+    })
 }
