Evict connections without a request before those that send one

Callers would see: with all descriptors in use, a connection closed 0.15 s after its client paused within a request, though other connections had sent nothing. Cause: a new connection and one with half a request were ranked by their silence alone. Change: one whose request has begun to arrive is chosen only if no other is old enough. Result: connection_without_any_byte_is_evicted_before_incomplete_request failed before (the incomplete request was evicted) and passes.

--- a/src/node/connection/clients/eviction.rs
+++ b/src/node/connection/clients/eviction.rs
@@ -44,7 +44,8 @@
     }
 }
 
-/// Returns the connection in this stage that has been inactive longest, if that is longer than `min_time`.
+/// Returns the connection in this stage that has been inactive longest, if that is longer than `min_time`. One whose
+/// request has begun to arrive is chosen only if there is no other.
 fn longest_inactive(
     connections: &ConnectionTable,
     stage: Stage,
@@ -54,7 +55,7 @@
         .values()
         .filter(|connection| connection.stage.get() == stage)
         .filter(|connection| inactive_since(connection).elapsed() > min_time)
-        .min_by_key(|connection| inactive_since(connection))
+        .min_by_key(|connection| (connection.has_request_begun(), inactive_since(connection)))
 }
 
 /// Returns the start of the inactivity. While a request is being read, each received byte restarts the time, so that a
--- a/tests/unit/eviction.rs
+++ b/tests/unit/eviction.rs
@@ -67,3 +67,14 @@
     assert_eq!(evicted(&connections), None);
     assert!(!connections[0].is_close_requested());
 }
+
+/// Guards against a request that is cut off by an eviction while its client pauses, though another connection has sent
+/// nothing.
+#[test]
+fn connection_without_any_byte_is_evicted_before_incomplete_request() {
+    let connections = [connection(Stage::ReadingRequest, 400), connection(Stage::ReadingRequest, 200)];
+    connections[0].record_read(10);
+    connections[0].last_read_at.set(Instant::now() - Duration::from_millis(400));
+    assert_eq!(evicted(&connections), Some(1));
+    assert_eq!(evicted(&connections[..1]), Some(0));
+}
