Name the progress of an exchange for what it records, and state facts once

The options of an exchange stood both in RequestHead and in ExchangeOptions, and the size of reads without a reservation had four names. Behaviour is unchanged.

--- a/src/node/connection/clients/connection.rs
+++ b/src/node/connection/clients/connection.rs
@@ -72,7 +72,7 @@
     async fn serve_next_request(&mut self) -> Result<(), ConnectionEnd> {
         let head = request_reader::read_head(&mut self.socket).await?;
         let request = self.parse_request(&head);
-        let options = head.exchange_options();
+        let options = head.options;
         // A long head would take memory until the response.
         drop(head);
         self.socket.release_empty_buffer();
--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -8,7 +8,7 @@
             handler::{FinalResponse, RequestHandler},
             request_reader::{ReceivedBody, ReceivedContent},
             response_writer::{self, Delivery},
-            socket::ClientSocket,
+            socket::{ClientSocket, UNRESERVED_BUFFER_BYTES},
             state::{CloseReason, ConnectionEnd, Stage},
         },
     },
@@ -29,9 +29,6 @@
 };
 use tracing::debug;
 
-/// Largest number of bytes read at once of a body that is discarded. No memory is reserved for them.
-const DISCARD_READ_BYTES: usize = 4096;
-
 /// One request and its response on a connection.
 pub struct Exchange<'a, 'c> {
     socket: &'a mut ClientSocket<'c>,
@@ -181,7 +178,7 @@
         let mut discarded = BytesMut::new();
         while let Ok(false) = decoder.decode(&mut self.socket.buffer, &mut discarded, usize::MAX) {
             discarded.clear();
-            if self.socket.read(DISCARD_READ_BYTES).await.is_err() {
+            if self.socket.read(UNRESERVED_BUFFER_BYTES).await.is_err() {
                 return;
             }
             yield_now().await;
--- a/src/node/connection/clients/request_reader.rs
+++ b/src/node/connection/clients/request_reader.rs
@@ -4,7 +4,7 @@
     connection::{
         body_memory::{BodyMemory, MAX_BUFFER_BYTES_WITH_HEADROOM, MemoryPermit},
         clients::{
-            socket::ClientSocket,
+            socket::{ClientSocket, UNRESERVED_BUFFER_BYTES},
             state::{ConnectionEnd, Stage},
         },
     },
@@ -19,8 +19,6 @@
 use hyper::StatusCode;
 use tokio::task::yield_now;
 
-/// Largest number of bytes read at once for a head or a short body.
-const HEAD_READ_BYTES: usize = 4096;
 /// End of a connection when there is no memory for a request.
 pub const NO_MEMORY: ConnectionEnd = ConnectionEnd::WithStatus(StatusCode::SERVICE_UNAVAILABLE);
 
@@ -66,7 +64,7 @@
             }
         }
         socket.reserve_buffer().ok_or(NO_MEMORY)?;
-        socket.read(HEAD_READ_BYTES).await?;
+        socket.read(UNRESERVED_BUFFER_BYTES).await?;
     }
 }
 
@@ -126,8 +124,8 @@
             let content = ReceivedContent::Partial { received: body, decoder, length };
             return Ok(ReceivedBody { content, memory });
         }
-        let is_short = length.is_some_and(|length| length <= HEAD_READ_BYTES);
-        socket.read(if is_short { HEAD_READ_BYTES } else { MAX_FRAME_BYTES }).await?;
+        let is_short = length.is_some_and(|length| length <= UNRESERVED_BUFFER_BYTES);
+        socket.read(if is_short { UNRESERVED_BUFFER_BYTES } else { MAX_FRAME_BYTES }).await?;
         if !is_short {
             // Decoding a body of tiny chunks takes long, so other connections come between.
             yield_now().await;
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -25,12 +25,11 @@
 
 /// Interim response that asks the client to send the body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-/// Bytes in the buffer of a connection for which no memory is reserved; most heads have fewer.
-const UNRESERVED_BUFFER_BYTES: usize = 4096;
+/// Bytes in the buffer of a connection for which no memory is reserved; most heads have fewer. Also the number of bytes
+/// read at once where no memory is reserved.
+pub const UNRESERVED_BUFFER_BYTES: usize = 4096;
 /// End of a connection that the client has closed or reset.
 const CLIENT_DISCONNECTED: ConnectionEnd = ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected);
-/// Largest number of bytes read at once while a connection closes.
-const LINGER_READ_BYTES: usize = 4096;
 /// Largest number of bytes discarded at once behind a request.
 const DISCARD_READ_BYTES: usize = 16 * 1024;
 /// Highest number of reads while a connection closes: 256 KiB in total.
@@ -258,7 +257,7 @@
         if self.tcp.shutdown().await.is_err() {
             return;
         }
-        let mut discarded = BytesMut::with_capacity(LINGER_READ_BYTES);
+        let mut discarded = BytesMut::with_capacity(UNRESERVED_BUFFER_BYTES);
         for _ in 0..MAX_LINGER_READS {
             discarded.clear();
             match self.tcp.read_buf(&mut discarded).await {
--- a/src/node/connection/discovery/call.rs
+++ b/src/node/connection/discovery/call.rs
@@ -4,9 +4,9 @@
     connection::{
         body_memory::{BodyMemory, MemoryPermit},
         discovery::error::DiscoveryError,
+        exchange_progress::ProgressHandle,
         http_connection::HttpConnection,
         response_body::{BodySink, BufferLimits},
-        write_progress::WriteProgressHandle,
     },
     wire::stream::{BodyFrame, MAX_RESPONSE_FRAME_BYTES, OutgoingBody},
 };
@@ -55,7 +55,7 @@
     pub async fn make(
         self,
         kept_connection: &mut Option<HttpConnection>,
-        progress: &WriteProgressHandle,
+        progress: &ProgressHandle,
     ) -> Result<Bytes, DiscoveryError> {
         let usable_connection =
             kept_connection.take().and_then(|mut connection| connection.is_ready().then_some(connection));
@@ -112,7 +112,7 @@
 /// Waits until the exchange ends, no response has begun by `deadline`, or a response has fallen silent.
 async fn wait_for_response(
     exchange: impl Future<Output = Result<Response<Bytes>, DiscoveryError>>,
-    progress: &WriteProgressHandle,
+    progress: &ProgressHandle,
     deadline: Instant,
 ) -> Result<Response<Bytes>, DiscoveryError> {
     let mut exchange = pin!(exchange);
--- a/src/node/connection/discovery/follower.rs
+++ b/src/node/connection/discovery/follower.rs
@@ -3,8 +3,8 @@
 use crate::node::{
     connection::{
         discovery::{call::ListCall, error::DiscoveryError},
+        exchange_progress::ProgressHandle,
         http_connection::HttpConnection,
-        write_progress::WriteProgressHandle,
     },
     wire::endpoint_list::{EndpointList, ListedEndpoint},
 };
@@ -164,7 +164,7 @@
     /// Makes one call. Returns `None` if discovery moved and no complete response arrived from the old address in
     /// time.
     async fn call(&mut self) -> Option<Result<Bytes, DiscoveryError>> {
-        let progress = WriteProgressHandle::default();
+        let progress = ProgressHandle::default();
         let max_list_bytes = self.options.max_list_bytes;
         let call = ListCall { address: self.address, version: self.version, max_list_bytes };
         let mut response = pin!(call.make(&mut self.connection, &progress));
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -4,9 +4,9 @@
     connection::{
         body_memory::{BodyMemory, MemoryPermit},
         endpoint_pool::{EndpointPool, Target},
+        exchange_progress::ProgressHandle,
         http_connection::ExchangeError,
         response_body::{BodySink, BufferLimits, BufferedBody},
-        write_progress::WriteProgressHandle,
     },
     metrics::CutReason,
     wire::{
@@ -80,7 +80,7 @@
     upstream: &'a UpstreamRequest,
     timeout_seconds: f64,
     started_at: Instant,
-    progress: &'a WriteProgressHandle,
+    progress: &'a ProgressHandle,
     request: &'a R,
 }
 
@@ -95,7 +95,7 @@
         target: &Target,
         upstream: &UpstreamRequest,
         timeout_seconds: f64,
-        progress: &WriteProgressHandle,
+        progress: &ProgressHandle,
         request: &impl AttemptRequest,
     ) -> AttemptResult {
         if !upstream.body.is_available() {
--- a/src/node/connection/write_progress.rs
+++ b/src/node/connection/exchange_progress.rs
@@ -6,20 +6,13 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io::{self, IoSlice},
-    pin::Pin,
     rc::Rc,
-    task::{Context, Poll, ready},
     time::{Duration, Instant},
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-};
 
 /// Progress of the current request on a connection.
 #[derive(Debug, Default)]
-pub struct WriteProgress {
+pub struct ExchangeProgress {
     /// Length of the request's body; `None` if it is not known in advance.
     body_length: Cell<Option<usize>>,
     /// Flag that a streamed body sets after handing over its last byte; `None` if the body is buffered.
@@ -40,7 +33,7 @@
     sent_requests: RefCell<Option<Rc<Cell<u64>>>>,
 }
 
-impl WriteProgress {
+impl ExchangeProgress {
     /// Resets the progress for a new request. `is_body_finished` is the flag of a streamed body.
     pub fn start_request(&self, body_length: Option<usize>, is_body_finished: Option<Rc<Cell<bool>>>) {
         self.body_length.set(body_length);
@@ -87,7 +80,7 @@
         self.received_bytes.get()
     }
 
-    fn record_written(&self, bytes: usize) {
+    pub(super) fn record_written(&self, bytes: usize) {
         self.written_bytes.set(self.written_bytes.get() + bytes);
         if self.is_completely_written() {
             if let Some(sent_requests) = self.sent_requests.take() {
@@ -97,7 +90,7 @@
     }
 
     /// Records bytes that were read. An interim response (1xx) doesn't count as the final one.
-    fn record_read(&self, bytes: &[u8]) {
+    pub(super) fn record_read(&self, bytes: &[u8]) {
         if self.has_response_started() || !bytes.starts_with(b"HTTP/1.1 1") {
             self.received_bytes.set(self.received_bytes.get() + bytes.len());
             self.last_received_at.set(Some(Instant::now()));
@@ -135,7 +128,7 @@
     }
 
     /// Computes the request's length from the bytes offered to its first write. Later writes change nothing.
-    fn record_first_write(&self, bytes: &[u8]) {
+    pub(super) fn record_first_write(&self, bytes: &[u8]) {
         if self.request_length.get().is_some() {
             return;
         }
@@ -147,78 +140,6 @@
     }
 }
 
-/// Socket that records the write progress. It supports vectored writes, so that hyper doesn't copy bodies into its own
-/// buffer, which would keep the size of the longest one. hyper offers the head as the first slice.
-pub struct CountingSocket {
-    pub socket: Rc<TcpStream>,
-    pub progress: Rc<WriteProgress>,
-    /// Maximum number of bytes read at once.
-    pub max_read_bytes: usize,
-}
-
-impl AsyncRead for CountingSocket {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        output: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let length = output.remaining().min(self.max_read_bytes);
-        loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(output.initialize_unfilled_to(length)) {
-                Ok(count) => {
-                    output.advance(count);
-                    let filled = output.filled();
-                    self.progress.record_read(&filled[filled.len() - count..]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for CountingSocket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_write_vectored(cx, &[IoSlice::new(bytes)])
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        if let Some(first_slice) = slices.first() {
-            self.progress.record_first_write(first_slice);
-        }
-        loop {
-            match self.socket.try_write_vectored(slices) {
-                Ok(count) => {
-                    self.progress.record_written(count);
-                    return Poll::Ready(Ok(count));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-            ready!(self.socket.poll_write_ready(cx))?;
-        }
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // Closing the socket, which follows, also shuts down its write side.
-        Poll::Ready(Ok(()))
-    }
-}
-
 /// How far an attempt has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptProgress {
@@ -237,11 +158,11 @@
 /// Handle by which others, such as the attempt's timeout, read a request's progress. Empty until the request has a
 /// connection.
 #[derive(Debug, Clone, Default)]
-pub struct WriteProgressHandle(Rc<RefCell<Option<Rc<WriteProgress>>>>);
+pub struct ProgressHandle(Rc<RefCell<Option<Rc<ExchangeProgress>>>>);
 
-impl WriteProgressHandle {
+impl ProgressHandle {
     /// Sets the connection's progress that this handle shows from now on.
-    pub fn attach(&self, progress: Rc<WriteProgress>) {
+    pub fn attach(&self, progress: Rc<ExchangeProgress>) {
         self.0.replace(Some(progress));
     }
 
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -5,9 +5,10 @@
 
 use crate::node::{
     connection::{
+        counting_socket::CountingSocket,
+        exchange_progress::ExchangeProgress,
         response_body::{BodyReader, BodySink, BufferLimits, BufferedBody, ResponseBodyError, read_body},
         socket_input::has_input,
-        write_progress::{CountingSocket, WriteProgress},
     },
     wire::{
         limits::MAX_HEAD_BYTES,
@@ -62,7 +63,7 @@
     sender: SendRequest<OutgoingBody>,
     /// hyper's connection future, which reads and writes when polled.
     driver: Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
-    progress: Rc<WriteProgress>,
+    progress: Rc<ExchangeProgress>,
     socket: Rc<TcpStream>,
 }
 
@@ -79,7 +80,7 @@
         let socket = timeout(connect_timeout, TcpStream::connect(address)).await??;
         socket.set_nodelay(true)?;
         let socket = Rc::new(socket);
-        let progress = Rc::new(WriteProgress::default());
+        let progress = Rc::new(ExchangeProgress::default());
         // hyper doubles its read buffer after a read that fills it, up to the largest frame.
         let is_largest = max_frame_bytes >= MAX_RESPONSE_FRAME_BYTES;
         let max_read_bytes = if is_largest { max_frame_bytes } else { max_frame_bytes - 1 };
@@ -91,7 +92,7 @@
     }
 
     /// Returns the write progress of the current request. It stays readable after the connection is dropped.
-    pub fn progress(&self) -> Rc<WriteProgress> {
+    pub fn progress(&self) -> Rc<ExchangeProgress> {
         self.progress.clone()
     }
 
@@ -162,7 +163,7 @@
 /// arrived, the rest of the response is read even if the connection has ended.
 async fn drive(
     driver: &mut Pin<Box<Connection<TokioIo<CountingSocket>, OutgoingBody>>>,
-    progress: &WriteProgress,
+    progress: &ExchangeProgress,
     mut response: Pin<&mut impl Future<Output = Result<Response<BufferedBody>, UnclassifiedFailure>>>,
 ) -> Result<Response<BufferedBody>, UnclassifiedFailure> {
     let mut is_closed = false;
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -3,7 +3,7 @@
 use crate::node::{
     connection::{
         body_memory::{BodyMemory, MemoryPermit},
-        write_progress::WriteProgress,
+        exchange_progress::ExchangeProgress,
     },
     wire::stream::{BodyFrame, MIN_RESPONSE_FRAME_BYTES},
 };
@@ -91,12 +91,12 @@
 /// Reads the data of a body and records it as the connection's progress.
 pub struct BodyReader {
     body: Incoming,
-    progress: Rc<WriteProgress>,
+    progress: Rc<ExchangeProgress>,
 }
 
 impl BodyReader {
     /// Creates a reader of the body that arrives on the connection with this progress.
-    pub fn new(body: Incoming, progress: Rc<WriteProgress>) -> Self {
+    pub fn new(body: Incoming, progress: Rc<ExchangeProgress>) -> Self {
         Self { body, progress }
     }
 
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -6,7 +6,7 @@
         clients::FinalResponse,
         endpoint_attempt::{AttemptRequest, AttemptResult},
         endpoint_pool::{EndpointPool, Target},
-        write_progress::WriteProgressHandle,
+        exchange_progress::ProgressHandle,
     },
     hot_restart::replica_table::ReplicaTable,
     metrics::{CutCounters, CutReason},
@@ -107,8 +107,8 @@
             self.replicas.notify_request_id(request_table::hash(&upstream.transaction_id));
         }
         debug!(request = ?upstream.transaction_id, attempt = number, endpoint = %endpoint, timeout, "attempt started");
-        let write_progress = WriteProgressHandle::default();
-        let task = self.spawn(request_id.clone(), number, target, upstream, timeout, write_progress.clone());
+        let progress = ProgressHandle::default();
+        let task = self.spawn(request_id.clone(), number, target, upstream, timeout, progress.clone());
         let timeout_timer = self.timers.set(now + timeout, TimerPurpose::Attempt(request_id, number));
         request.add_attempt(InFlightAttempt {
             endpoint,
@@ -116,7 +116,7 @@
             sent_at: now,
             timeout,
             response_started_at: None,
-            write_progress,
+            progress,
             task,
             timeout_timer: Some(timeout_timer),
         });
@@ -129,14 +129,14 @@
         target: Target,
         upstream: Rc<UpstreamRequest>,
         timeout: Seconds,
-        write_progress: WriteProgressHandle,
+        progress: ProgressHandle,
     ) -> AbortHandle {
         let attempts = self.clone();
         let span = debug_span!("attempt", request = ?upstream.transaction_id, attempt = number);
         let run = async move {
             let request = RequestOfAttempt { attempts: &attempts, request_id: &request_id, number };
             let endpoints = &attempts.endpoints;
-            let result = endpoints.attempt(&target, &upstream, timeout, &write_progress, &request).await;
+            let result = endpoints.attempt(&target, &upstream, timeout, &progress, &request).await;
             attempts.end(&request_id, number, result);
         };
         let task = tokio::task::spawn_local(run.instrument(span));
@@ -182,8 +182,8 @@
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         let Some(attempt) = request.take_attempt(number) else { return };
         let endpoint = attempt.endpoint;
-        let progress = attempt.write_progress.state();
-        let (received_bytes, silence) = attempt.write_progress.received().unzip();
+        let progress = attempt.progress.state();
+        let (received_bytes, silence) = attempt.progress.received().unzip();
         debug!(request = ?request.upstream().transaction_id, attempt = number, %endpoint, reason = ?result.status, ?progress, received_bytes, ?silence, "attempt ended");
         if let Some(timer) = attempt.timeout_timer {
             self.timers.cancel(timer);
@@ -226,7 +226,7 @@
             }
             return;
         }
-        if request.attempt_mut(number).is_some_and(|attempt| attempt.write_progress.has_response_started()) {
+        if request.attempt_mut(number).is_some_and(|attempt| attempt.progress.has_response_started()) {
             self.cuts.count(CutReason::ResponseOverdue);
         }
         drop(request);
@@ -239,7 +239,7 @@
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         let Some(attempt) = request.attempt_mut(number) else { return };
         attempt.task.abort();
-        let status = if attempt.write_progress.may_have_run() { status } else { Status::NotSent };
+        let status = if attempt.progress.may_have_run() { status } else { Status::NotSent };
         drop(request);
         self.end(request_id, number, AttemptResult::without_response(status));
     }
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -4,7 +4,7 @@
     connection::{
         body_memory::MemoryPermit,
         clients::FinalResponse,
-        write_progress::{AttemptProgress, WriteProgressHandle},
+        exchange_progress::{AttemptProgress, ProgressHandle},
     },
     runtime::{clock::Clock, timers::TimerKey},
     wire::{client_request::UpstreamRequest, stream::RequestBody},
@@ -30,7 +30,7 @@
     /// Time at which a streamed response started; `None` before that and for responses that are not streamed.
     pub response_started_at: Option<Time>,
     /// Progress of writing the request to the endpoint.
-    pub write_progress: WriteProgressHandle,
+    pub progress: ProgressHandle,
     /// Task that carries out the attempt. Aborting the task closes the attempt's connection.
     pub task: AbortHandle,
     /// Timer of the timeout; `None` once a streamed response has started.
@@ -40,12 +40,12 @@
 impl InFlightAttempt {
     /// Returns the endpoint and how far the attempt has come, for logs.
     fn describe(&self) -> (EndpointId, AttemptProgress) {
-        (self.endpoint.clone(), self.write_progress.state())
+        (self.endpoint.clone(), self.progress.state())
     }
 
     /// Returns whether the endpoint certainly has not begun to run the attempt.
     fn is_unsent(&self) -> bool {
-        self.response_started_at.is_none() && !self.write_progress.may_have_run()
+        self.response_started_at.is_none() && !self.progress.may_have_run()
     }
 }
 
@@ -202,7 +202,7 @@
     pub fn attempt_due_at(&self, number: u32, now: Time) -> Option<Time> {
         let attempt = self.attempts.get(number as usize)?.as_ref()?;
         attempt.timeout_timer?;
-        if attempt.write_progress.is_in_transit() {
+        if attempt.progress.is_in_transit() {
             return Some(self.deadline(now));
         }
         Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
--- a/src/node/wire/request_head.rs
+++ b/src/node/wire/request_head.rs
@@ -58,14 +58,8 @@
     pub uri: Uri,
     /// All headers, including duplicates.
     pub headers: HeaderMap,
-    /// Framing of the body that follows the head.
-    pub framing: Framing,
-    /// Minor version of HTTP/1.
-    pub minor_version: u8,
-    /// True if the client allows the connection to stay open after the response.
-    pub allows_keep_alive: bool,
-    /// True if the client may wait for `100 Continue` before it sends the body. HTTP/1.0 has no interim responses.
-    pub expects_continue: bool,
+    /// The part of the head that is needed to the end of the exchange.
+    pub options: ExchangeOptions,
 }
 
 /// What an exchange needs of the request's head after the request was parsed.
@@ -77,22 +71,10 @@
     pub minor_version: u8,
     /// True if the client allows the connection to stay open after the response.
     pub allows_keep_alive: bool,
-    /// True if the client may wait for `100 Continue` before it sends the body.
+    /// True if the client may wait for `100 Continue` before it sends the body. HTTP/1.0 has no interim responses.
     pub expects_continue: bool,
 }
 
-impl RequestHead {
-    /// Returns the part of the head that is needed to the end of the exchange.
-    pub fn exchange_options(&self) -> ExchangeOptions {
-        ExchangeOptions {
-            framing: self.framing,
-            minor_version: self.minor_version,
-            allows_keep_alive: self.allows_keep_alive,
-            expects_continue: self.expects_continue,
-        }
-    }
-}
-
 /// Removes a complete head from the buffer and returns it; returns `None` while it is incomplete. `scanned_bytes` keeps
 /// the number of bytes that earlier calls for the same request have searched; the caller starts a request with 0.
 ///
@@ -147,14 +129,17 @@
     let headers = to_header_map(request.headers)?;
     let allows_keep_alive = !has_connection_option(&headers, "close")
         && (minor_version == 1 || has_connection_option(&headers, "keep-alive"));
-    let head = RequestHead {
-        method: Method::from_bytes(method.as_bytes()).map_err(|_| HeadError::MalformedRequestLine)?,
-        uri: Uri::try_from(path).map_err(|_| HeadError::MalformedRequestLine)?,
+    let options = ExchangeOptions {
         framing: parse_framing(&headers, minor_version)?,
         minor_version,
         allows_keep_alive,
         expects_continue: minor_version > 0 && has_continue_expectation(&headers),
+    };
+    let head = RequestHead {
+        method: Method::from_bytes(method.as_bytes()).map_err(|_| HeadError::MalformedRequestLine)?,
+        uri: Uri::try_from(path).map_err(|_| HeadError::MalformedRequestLine)?,
         headers,
+        options,
     };
     Ok(Some(ParsedHead { head, length }))
 }
--- a/tests/unit/open_request.rs
+++ b/tests/unit/open_request.rs
@@ -31,7 +31,7 @@
         sent_at: 10.0,
         timeout: 0.5,
         response_started_at,
-        write_progress: WriteProgressHandle::default(),
+        progress: ProgressHandle::default(),
         task: runtime.spawn(async {}).abort_handle(),
         timeout_timer: None,
     }
--- a/tests/unit/request_head.rs
+++ b/tests/unit/request_head.rs
@@ -14,7 +14,7 @@
         buffer.extend_from_slice(part);
         if decoder_and_head.is_none() {
             let head = take_head(&mut buffer, &mut scanned_bytes).map_err(HeadError::status)?;
-            decoder_and_head = head.map(|head| (BodyDecoder::new(head.framing), head));
+            decoder_and_head = head.map(|head| (BodyDecoder::new(head.options.framing), head));
         }
         if let Some((decoder, _)) = &mut decoder_and_head {
             // Decodes the body in steps of at most nine bytes.
@@ -44,12 +44,12 @@
         for text in [plain, chunked] {
             let (head, body) = parse_request(text, part_length).expect("valid").expect("complete");
             assert!(
-                head.allows_keep_alive && head.method == Method::POST && body == "hello",
+                head.options.allows_keep_alive && head.method == Method::POST && body == "hello",
                 "{part_length}"
             );
         }
         let (head, body) = parse_request(bare, part_length).expect("valid").expect("complete");
-        assert!(!head.allows_keep_alive && body.is_empty());
+        assert!(!head.options.allows_keep_alive && body.is_empty());
     }
 }
 
