Date the arrival of bytes that were waited for without a failed read

Callers would see: 429 or 502 to an upload of over 64 KiB long before its wait was over, on a connection that had carried an earlier request, or when its client wrote slowly. Cause: the wait of a streamed body counts from when the gateway last had to wait for its client. It noticed a wait only by a read that failed first. If an earlier look ahead had already found the socket empty, the wait passed in the runtime's readiness, no read failed, and the time stayed that of an earlier request. Change: a wait for readiness that is not over at once counts as a wait.

--- a/src/node/connection/clients/handler.rs
+++ b/src/node/connection/clients/handler.rs
@@ -77,7 +77,8 @@
 /// Processes clients' requests.
 pub trait RequestHandler {
     /// Accepts a request and returns the receiver of the final response. `body_memory` is the reservation for the
-    /// request's body. A body that is complete had arrived by `received_at`, from which the client's wait counts. Returns `None` if a request with the same transaction id is open.
+    /// request's body. A body that is complete had arrived by `received_at`, from which the client's wait counts. Returns
+    /// `None` if a request with the same transaction id is open.
     fn accept(
         &self,
         request: ClientRequest,
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -17,7 +17,7 @@
 use bytes::BytesMut;
 use hyper::StatusCode;
 use socket2::SockRef;
-use std::{io, time::Instant};
+use std::{cell::Cell, future::poll_fn, io, pin::pin, time::Instant};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::TcpStream,
@@ -116,10 +116,10 @@
     /// # Errors
     /// Returns an error if the client has disconnected, or a close was requested and no input is pending.
     pub async fn read(&mut self, max_bytes: usize) -> Result<(), ConnectionEnd> {
-        let mut has_waited = false;
+        let has_waited = Cell::new(false);
         loop {
             tokio::select! {
-                ready = self.tcp.readable() => ready.map_err(|_| CLIENT_DISCONNECTED)?,
+                ready = observe_wait(self.tcp.readable(), &has_waited) => ready.map_err(|_| CLIENT_DISCONNECTED)?,
                 () = self.state.close_signal.notified() => match self.evaluate_close_signal() {
                     CloseSignal::Outdated => continue,
                     CloseSignal::InputPending => {}
@@ -131,12 +131,12 @@
                 Ok(0) => return Err(CLIENT_DISCONNECTED),
                 Ok(count) => {
                     self.state.record_read(count);
-                    if has_waited {
+                    if has_waited.get() {
                         self.last_awaited_at = self.context.hold_ups.earliest_arrival(Instant::now());
                     }
                     return Ok(());
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => has_waited = true,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => has_waited.set(true),
                 Err(_) => return Err(CLIENT_DISCONNECTED),
             }
         }
@@ -268,6 +268,19 @@
     }
 }
 
+/// Awaits a future, and sets `has_waited` if it is not ready at once.
+async fn observe_wait<T>(future: impl Future<Output = T>, has_waited: &Cell<bool>) -> T {
+    let mut future = pin!(future);
+    poll_fn(|cx| {
+        let poll = future.as_mut().poll(cx);
+        if poll.is_pending() {
+            has_waited.set(true);
+        }
+        poll
+    })
+    .await
+}
+
 /// Waits until the client has closed or reset the connection. The system reports this separately from input, so it is
 /// detected even while unread bytes are pending.
 async fn wait_for_peer_close(socket: &TcpStream) {
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -103,8 +103,8 @@
         !has_input(&self.socket) && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
     }
 
-    /// Sends a request and reads the response. The caller limits the time until a stream of `sink` has started. A body beyond `limits` goes to a stream of `sink`; then the response is
-    /// returned after the end of the stream, with an empty body.
+    /// Sends a request and reads the response. A body beyond `limits` goes to a stream of `sink`; then the response is
+    /// returned after the end of the stream, with an empty body. The caller limits the time until the stream has started.
     ///
     /// # Errors
     /// The connection failed, the response was invalid, or no stream was opened for a body beyond `limits`.
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -384,3 +384,28 @@
     let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("no panic")).collect();
     assert!(answers.iter().all(|(_, _, _, status)| *status == Some(200)), "{answers:?}");
 }
+
+/// Guards against an upload that is failed before its client's wait is over, because the wait counts from an earlier
+/// request on the same connection.
+#[test]
+fn upload_on_connection_that_was_idle_has_its_whole_wait() {
+    const IDLE_TIME: Duration = Duration::from_millis(2600);
+    const RESPONSE_TIME: Duration = Duration::from_millis(300);
+    let endpoint = RawEndpoint::start(|mut socket| {
+        let mut reader = BufReader::new(socket.try_clone().expect("an open socket"));
+        while read_message(&mut reader).is_some() {
+            thread::sleep(RESPONSE_TIME);
+            let _ = socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        }
+    });
+    let node = start_gateway(&endpoint);
+    for body_bytes in [700_000, 1_500_000] {
+        let mut client = Client::connect(node.addr);
+        assert_eq!(client.send_request(&TestRequest::new(&format!("first{body_bytes}"))).status(), 200);
+        thread::sleep(IDLE_TIME);
+        let mut upload = TestRequest::at_most_once(&format!("upload{body_bytes}"));
+        upload.body = vec![b'u'; body_bytes];
+        let upload = upload.with_header("X-Remaining", WAIT_HEADER);
+        assert_eq!(client.send_request(&upload).status(), 200, "{body_bytes} bytes");
+    }
+}
