--- a/review/stand-ins-2/src/cases/second_answer.rs
+++ b/review/stand-ins-2/src/cases/second_answer.rs
@@ -20,9 +20,9 @@
 };
 
 const CLIENTS: u64 = 8;
-const REQUESTS: u64 = 60;
+const REQUESTS: u64 = 100;
 /// Every so many-th answer is written a second time.
-const SPOILT_EVERY: usize = 40;
+const SPOILT_EVERY: usize = 20;
 /// How late a second answer comes.
 const LATE: Duration = Duration::from_millis(12);
 
