--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -3,10 +3,8 @@
 mod endless_answer;
 mod hang_in_answer;
 mod no_key;
-mod pipeline;
 mod quick_reloads;
 mod restart_in_answer;
-mod second_answer;
 
 use crate::{Verdict, record::Record};
 use std::sync::Arc;
@@ -15,12 +13,10 @@
 pub fn run(case: &str, trouble: bool, record: &Arc<Record>) -> Option<Verdict> {
     match case {
         "endless-answer" => endless_answer::run(trouble, record),
-        "pipeline" => pipeline::run(trouble, record),
         "hang-in-answer" => hang_in_answer::run(trouble, record),
         "restart-in-answer" => restart_in_answer::run(trouble, record),
         "no-key" => no_key::run(trouble, record),
         "quick-reloads" => quick_reloads::run(trouble, record),
-        "second-answer" => second_answer::run(trouble, record),
         _ => None,
     }
 }
--- a/review/stand-ins-2/src/cases/quick_reloads.rs
+++ b/review/stand-ins-2/src/cases/quick_reloads.rs
@@ -1,5 +1,5 @@
 //! New configurations in quick succession while discovery is slow, and a worker begins to drain. Nothing new may go to that
-//! worker once the grace is over after the change counts as told.
+//! worker once the grace is over after the change counts as told: it finishes its work, and then its machine is gone.
 
 use crate::{
     Verdict,
@@ -29,16 +29,24 @@
 /// The change counts as told 6 s after discovery had it at the latest; the site's grace is 0.7 s; every limit is longer by
 /// 50 ms on sockets; and 50 ms for this script's own lateness.
 const LAST_NEW_ATTEMPT: Duration = Duration::from_millis(6000 + 700 + 50 + 50);
+/// Time from the change until the worker has finished its work and its machine is gone, later than anything new may come.
+const GONE_AFTER: Duration = Duration::from_millis(7500);
 const CLIENTS: u64 = 6;
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Option<Verdict> {
     let drains_since: Arc<Mutex<Option<Instant>>> = Arc::default();
     let arrivals: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
-    let (since, arrived) = (drains_since.clone(), arrivals.clone());
+    let (since, arrived, log) = (drains_since.clone(), arrivals.clone(), record.clone());
     let deployment = Deployment::start_with(Site::PuertoCorto, 9, CALL_TIME, record, move |call| {
-        if call.worker == DRAINING && since.lock().expect("the lock is not poisoned").is_some() {
+        let drains_since = *since.lock().expect("the lock is not poisoned");
+        if let Some(drains_since) = drains_since.filter(|_| call.worker == DRAINING) {
             let id = call.request.header("x-txn").to_owned();
-            arrived.lock().expect("the lock is not poisoned").push((id, Instant::now()));
+            arrived.lock().expect("the lock is not poisoned").push((id.clone(), Instant::now()));
+            if drains_since.elapsed() > GONE_AFTER {
+                log.line(format!("{id} was sent to worker {DRAINING}, whose machine is gone"));
+                thread::sleep(Duration::from_secs(20));
+                return false;
+            }
             let answer = "HTTP/1.1 503 Draining\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
             return call.socket.write_all(answer.as_bytes()).is_ok();
         }
@@ -58,14 +66,17 @@
                     }
                     let request = ClientRequest {
                         id: format!("d{client:03}{number:012}"),
-                        class: "tide-feed",
+                        class: "crane-order",
                         plan: "agente",
                         customer: 0x8000 + client * 10_000 + number,
-                        wait: Duration::from_millis(600),
+                        wait: Duration::from_millis(800),
                         key: None,
-                        is_post: false,
+                        is_post: true,
                     };
                     let seen = exchange(&mut connection, &request, Duration::ZERO, &record);
+                    if matches!(seen.end, End::Answer { status, .. } if !matches!(status, 200 | 429 | 503)) {
+                        record.line(format!("{} was accepted, and failed", request.id));
+                    }
                     if !matches!(seen.end, End::Answer { .. }) {
                         connection = connect(gateway).ok()?;
                     }
