--- a/review/stand-ins-2/src/cases/quick_reloads.rs
+++ b/review/stand-ins-2/src/cases/quick_reloads.rs
@@ -110,12 +110,12 @@
     for (id, at) in arrivals.lock().expect("the lock is not poisoned").iter() {
         let after = at.saturating_duration_since(first_signal_at + CHANGE_AFTER);
         record.line(format!(
-            "{id} reached the draining worker {:.3} s after the first signal",
+            "{id} reached the draining worker {:.3} s after discovery had it",
             after.as_secs_f64()
         ));
         if after > LAST_NEW_ATTEMPT {
             broken.push(format!(
-                "{id} went to the draining worker {:.3} s after the first signal",
+                "{id} went to the draining worker {:.3} s after discovery had it",
                 after.as_secs_f64()
             ));
         }
