Break off short responses that never end, soon after the deadline

Cause: with the first data of a stream, Attempts::response_started cancelled the attempt's timer, whatever the stream's length, and only a limit of 10 s on the wait for the next data remained, which every piece restarted.

Change: one owner of the decision. ResponseLimits::end_time (src/policy/requests/response_limits.rs) says when an attempt ends whose response is awaited, arriving or forwarded; the attempt's one timer asks it again. The limit of 10 s in response_body.rs is gone, and its error with it. Up to 64 KiB a forwarded response ends 0.3 s after the deadline. Without a length it goes on while its pace (arrival_pace.rs) shows that it may pass 64 KiB. Beyond that only 10 s of silence end it.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,7 +16,10 @@
     Lifecycle, ListKind, LoadReport, RejectionReason, Request, RequestId, ResponseTimes, Seconds, Status,
     Time,
 };
-pub use policy::Gateway;
+pub use policy::{
+    ArrivalPace, AttemptEndTime, EndReason, Gateway, MAX_SHORT_BODY_BYTES, Pace, ResponseLimits,
+    ResponseProgress, StreamProgress,
+};
 pub use primitives::stable_hash::stable_hash;
 pub use settings::{
     Class, Effect, IdempotencyScope, Options, OptionsError, Plan, Settings, SettingsDocument, SettingsError,
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -8,7 +8,6 @@
         http_connection::ExchangeError,
         response_body::{BodySink, BufferLimits, BufferedBody},
     },
-    metrics::CutReason,
     wire::{
         client_request::UpstreamRequest,
         limits::{MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES},
@@ -150,10 +149,6 @@
                     }
                     return Err(Status::Reset);
                 }
-                ExchangeError::Stalled => {
-                    self.pool.cuts.count(CutReason::EndpointStalled);
-                    return Err(Status::Reset);
-                }
             }
         }
     }
--- a/src/node/connection/endpoint_pool.rs
+++ b/src/node/connection/endpoint_pool.rs
@@ -2,7 +2,7 @@
 
 use crate::node::{
     connection::{body_memory::BodyMemory, http_connection::HttpConnection, idle_limit::IdleLimit},
-    metrics::{CutCounters, Metrics},
+    metrics::Metrics,
     wire::endpoint_list::ListedEndpoint,
 };
 use fnv::FnvHashMap;
@@ -71,8 +71,6 @@
     connect_timeout: Duration,
     /// Number of attempts whose request was written completely.
     pub(super) dispatches: Rc<Cell<u64>>,
-    /// Counts of the messages that were cut off.
-    pub(super) cuts: Rc<CutCounters>,
     /// Budget for the bodies of responses.
     pub(super) body_memory: Rc<BodyMemory>,
 }
@@ -106,7 +104,6 @@
             idle_limit: IdleLimit::new(max_idle),
             connect_timeout,
             dispatches: metrics.dispatches.clone(),
-            cuts: metrics.cuts.clone(),
             body_memory,
         }
     }
--- a/src/node/connection/exchange_progress.rs
+++ b/src/node/connection/exchange_progress.rs
@@ -4,6 +4,7 @@
 //! The progress tells whether an attempt may have run, because an endpoint starts to work on a request only after it
 //! has received the last byte.
 
+use oliverack::{ArrivalPace, ResponseProgress, StreamProgress};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -29,6 +30,12 @@
     has_head: Cell<bool>,
     /// Bytes of the final response's body that were read.
     body_bytes: Cell<usize>,
+    /// Time at which the first of them were read, from which `body_pace` counts; `None` before.
+    body_started_at: Cell<Option<Instant>>,
+    /// Pace at which these bytes arrived.
+    body_pace: Cell<ArrivalPace>,
+    /// Time since which the body's next data is awaited; `None` while it is not.
+    data_awaited_since: Cell<Option<Instant>>,
     /// Count to be incremented once the next request is written completely.
     sent_requests: RefCell<Option<Rc<Cell<u64>>>>,
 }
@@ -44,6 +51,9 @@
         self.last_received_at.set(None);
         self.has_head.set(false);
         self.body_bytes.set(0);
+        self.body_started_at.set(None);
+        self.body_pace.set(ArrivalPace::default());
+        self.data_awaited_since.set(None);
     }
 
     /// Counts the next request in `sent_requests` once it is written completely.
@@ -70,11 +80,6 @@
         self.received_bytes.get() > 0
     }
 
-    fn is_in_transit(&self) -> bool {
-        let is_partly_written = !self.is_unwritten() && !self.is_completely_written();
-        is_partly_written || self.has_response_started()
-    }
-
     /// Returns the number of bytes of the final response that have arrived.
     pub fn received_bytes(&self) -> usize {
         self.received_bytes.get()
@@ -107,9 +112,54 @@
         self.has_head.get()
     }
 
-    /// Records data of the final response's body.
+    /// Records that the next data of the final response's body is awaited.
+    pub fn await_body(&self) {
+        self.data_awaited_since.set(Some(Instant::now()));
+    }
+
+    /// Records data of the final response's body, for which the wait is over.
     pub fn record_body(&self, bytes: usize) {
+        let now = Instant::now();
+        if self.body_started_at.get().is_none() {
+            self.body_started_at.set(Some(now));
+        }
+        let mut pace = self.body_pace.get();
+        pace.record(self.body_age(now), bytes);
+        self.body_pace.set(pace);
         self.body_bytes.set(self.body_bytes.get() + bytes);
+        self.data_awaited_since.set(None);
+    }
+
+    /// Returns the time since the first data of the body, in seconds.
+    fn body_age(&self, now: Instant) -> f64 {
+        let started_at = self.body_started_at.get().unwrap_or(now);
+        now.saturating_duration_since(started_at).as_secs_f64()
+    }
+
+    /// Returns how far a response has come that is forwarded as it arrives, and whose body has this length.
+    fn stream_progress(&self, length: Option<u64>) -> StreamProgress {
+        let now = Instant::now();
+        let silence = self.data_awaited_since.get().map(|awaited_since| {
+            let silent_since = self.last_received_at.get().map_or(awaited_since, |at| at.max(awaited_since));
+            now.saturating_duration_since(silent_since).as_secs_f64()
+        });
+        StreamProgress {
+            length,
+            received_bytes: self.body_bytes.get() as u64,
+            pace: self.body_pace.get().at(self.body_age(now)),
+            silence,
+        }
+    }
+
+    /// Returns how far an exchange has come of which the client has been sent nothing.
+    fn response_progress(&self) -> ResponseProgress {
+        if self.has_response_started() {
+            ResponseProgress::Arriving
+        } else if !self.is_unwritten() && !self.is_completely_written() {
+            ResponseProgress::SendingRequest
+        } else {
+            ResponseProgress::Awaited
+        }
     }
 
     /// Returns how far the exchange has come.
@@ -184,9 +234,16 @@
         Some((progress.received_bytes(), progress.last_received_at.get()?.elapsed()))
     }
 
-    /// Returns whether the request is partly written, or the response has begun to arrive.
-    pub fn is_in_transit(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(|progress| progress.is_in_transit())
+    /// Returns how far an attempt has come of which the client has been sent nothing.
+    pub fn response_progress(&self) -> ResponseProgress {
+        self.0.borrow().as_ref().map_or(ResponseProgress::Awaited, |progress| progress.response_progress())
+    }
+
+    /// Returns how far a response has come that is forwarded as it arrives, and whose body has this length.
+    pub fn stream_progress(&self, length: Option<u64>) -> ResponseProgress {
+        self.0.borrow().as_ref().map_or(ResponseProgress::Awaited, |progress| {
+            ResponseProgress::Streaming(progress.stream_progress(length))
+        })
     }
 
     /// Returns whether bytes of the final response have arrived.
--- a/src/node/connection/http_connection.rs
+++ b/src/node/connection/http_connection.rs
@@ -7,7 +7,7 @@
     connection::{
         counting_socket::CountingSocket,
         exchange_progress::ExchangeProgress,
-        response_body::{BodyReader, BodySink, BufferLimits, BufferedBody, ResponseBodyError, read_body},
+        response_body::{BodyReader, BodySink, BufferLimits, BufferedBody, read_body},
         socket_input::has_input,
     },
     wire::{
@@ -43,9 +43,6 @@
     /// The request may have run.
     #[error("the request was written, but no complete and valid response was received")]
     NoResponse,
-    /// The request may have run; the gateway gave up the response that had begun.
-    #[error("the endpoint fell silent within the response")]
-    Stalled,
 }
 
 /// Failure of an exchange before it is classified by how much of the request was written.
@@ -54,8 +51,6 @@
     RequestReturned,
     /// The connection failed, or the response was invalid or unwanted.
     Broken,
-    /// The endpoint fell silent within the response.
-    Stalled,
 }
 
 /// HTTP/1 connection that carries one request at a time.
@@ -104,7 +99,7 @@
     }
 
     /// Sends a request and reads the response. A body beyond `limits` goes to a stream of `sink`; then the response is
-    /// returned after the end of the stream, with an empty body. The caller limits the time until the stream has started.
+    /// returned after the end of the stream, with an empty body. The caller limits the time.
     ///
     /// # Errors
     /// The connection failed, the response was invalid, or no stream was opened for a body beyond `limits`.
@@ -131,10 +126,7 @@
             let body = read_body(&parts, body, limits, sink).await;
             let body = body.map_err(|error| {
                 debug!(reason = %error, "response body was not read to its end");
-                match error {
-                    ResponseBodyError::Stalled(_) => UnclassifiedFailure::Stalled,
-                    _ => UnclassifiedFailure::Broken,
-                }
+                UnclassifiedFailure::Broken
             })?;
             Ok(Response::from_parts(parts, body))
         });
@@ -145,12 +137,7 @@
     fn classify(&self, failure: &UnclassifiedFailure) -> ExchangeError {
         let is_returned = matches!(failure, UnclassifiedFailure::RequestReturned);
         if self.progress.is_completely_written() {
-            match failure {
-                UnclassifiedFailure::Stalled => ExchangeError::Stalled,
-                UnclassifiedFailure::Broken | UnclassifiedFailure::RequestReturned => {
-                    ExchangeError::NoResponse
-                }
-            }
+            ExchangeError::NoResponse
         } else if is_returned || self.progress.is_unwritten() {
             ExchangeError::NotWritten
         } else {
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -25,8 +25,6 @@
 
 /// Wait for the next data of a body after which another response may be sought.
 const STALL_TIME: Duration = Duration::from_millis(400);
-/// Longest wait for the next data of a streamed body, for which the caller sets no limit.
-const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest part of a body that needs no reservation, because the connection's read buffer holds it anyway.
 const UNRESERVED_BYTES: usize = MIN_RESPONSE_FRAME_BYTES;
 
@@ -37,8 +35,6 @@
         "the body has neither a length nor chunks, and the head does not announce that the connection closes"
     )]
     UnannouncedClose,
-    #[error("no data of the body arrived for {0:?}")]
-    Stalled(Duration),
     #[error("the body could not be read: {0}")]
     Broken(#[from] hyper::Error),
     #[error("the body exceeds the buffer limits, and no stream was opened for it")]
@@ -107,6 +103,7 @@
 
     /// Waits for the next data of the body. Returns `None` at the end of the body.
     async fn next_data(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+        self.progress.await_body();
         while let Some(frame) = self.body.frame().await {
             // A frame without data holds trailers, which are ignored.
             let data = frame?.into_data().unwrap_or_default();
@@ -131,11 +128,10 @@
 }
 
 /// Reads a body to its end. Returns the buffered body, or an empty one if it was streamed. A stream starts only when
-/// memory is free for it and its first data has arrived. The caller limits the time of a buffered body, and the wait for
-/// the start of a stream.
+/// memory is free for it and its first data has arrived. The caller limits the time.
 ///
 /// # Errors
-/// The body was cut off or stalled, or no stream was opened for it, or the stream's receiver was dropped.
+/// The body was cut off, or no stream was opened for it, or the stream's receiver was dropped.
 pub async fn read_body(
     parts: &Parts,
     mut body: BodyReader,
@@ -279,8 +275,7 @@
     }
     loop {
         let slot = reserve_slot(sender).await?;
-        let data = timeout(STREAM_STALL_TIMEOUT, body.next_data()).await;
-        let Some(data) = data.map_err(|_| ResponseBodyError::Stalled(STREAM_STALL_TIMEOUT))?? else {
+        let Some(data) = body.next_data().await? else {
             slot.send(BodyFrame::End);
             return Ok(());
         };
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -12,7 +12,7 @@
     metrics::{CutCounters, CutReason},
     runtime::{
         clock::Clock,
-        open_request::{DeliveryOutcome, InFlightAttempt, OpenRequest},
+        open_request::{DeliveryOutcome, InFlightAttempt, OpenRequest, StartedStream},
         policy_loop::PolicyLoop,
         request_table::{self, RequestTable},
         timers::{TimerPurpose, Timers},
@@ -22,7 +22,7 @@
         stream::{self, BodyFrame, RequestBody},
     },
 };
-use oliverack::{EndpointId, Event, LoadReport, RequestId, Seconds, Status, Time};
+use oliverack::{EndReason, EndpointId, Event, LoadReport, RequestId, Seconds, Status, Time};
 use std::rc::Rc;
 use tokio::{sync::mpsc, task::AbortHandle};
 use tracing::{Instrument, debug, debug_span};
@@ -115,7 +115,7 @@
             started_at: now,
             sent_at: now,
             timeout,
-            response_started_at: None,
+            stream: None,
             progress,
             task,
             timeout_timer: Some(timeout_timer),
@@ -167,12 +167,8 @@
         }
         debug!(request = ?request.upstream().transaction_id, attempt = number, ?length, "response started");
         let attempt = request.attempt_mut(number)?;
-        attempt.response_started_at = Some(self.clock.now());
-        let timeout_timer = attempt.timeout_timer.take();
+        attempt.stream = Some(StartedStream { started_at: self.clock.now(), length });
         drop(request);
-        if let Some(timer) = timeout_timer {
-            self.timers.cancel(timer);
-        }
         self.release(request_id);
         self.policy.post(Event::ResponseStarted { request_id: request_id.clone() });
         (outcome == DeliveryOutcome::Delivered).then_some(sender)
@@ -198,7 +194,7 @@
         drop(request);
         self.release(request_id);
         // The end of a streamed response depends on how fast its client reads, so only the time to its start counts.
-        let ended_at = attempt.response_started_at.unwrap_or_else(|| self.clock.now());
+        let ended_at = attempt.stream.map_or_else(|| self.clock.now(), |stream| stream.started_at);
         self.policy.post(Event::AttemptEnded {
             request_id: request_id.clone(),
             attempt: number,
@@ -211,26 +207,28 @@
         });
     }
 
-    /// Cancels an attempt whose timeout has passed. Sets the timer again if the timeout has moved, because the client was
-    /// still sending the body or the response is arriving.
+    /// Ends an attempt whose time is over. Sets the timer again if the time has moved, because the client was still sending
+    /// the body or the response is arriving.
     pub fn time_out(&self, request_id: &RequestId, number: u32) {
         let Some(mut request) = self.table.get_mut(request_id) else { return };
         request.update_wait_start(&self.clock);
         let now = self.clock.now();
-        let Some(due) = request.attempt_due_at(number, now) else { return };
-        if due > now {
-            let check_at = request.next_check(due, now).max(now + MIN_REARM_DELAY);
+        let Some(end) = request.attempt_end_time(number, now) else { return };
+        if end.at > now {
+            let check_at = request.next_check(end.at, now).max(now + MIN_REARM_DELAY);
             let timer = self.timers.set(check_at, TimerPurpose::Attempt(request_id.clone(), number));
             if let Some(attempt) = request.attempt_mut(number) {
                 attempt.timeout_timer = Some(timer);
             }
             return;
         }
-        if request.attempt_mut(number).is_some_and(|attempt| attempt.progress.has_response_started()) {
-            self.cuts.count(CutReason::ResponseOverdue);
-        }
         drop(request);
-        self.cancel(request_id, number, Status::Timeout);
+        match end.reason {
+            EndReason::NoResponse => {}
+            EndReason::ResponseOverdue => self.cuts.count(CutReason::ResponseOverdue),
+            EndReason::EndpointSilent => self.cuts.count(CutReason::EndpointStalled),
+        }
+        self.cancel(request_id, number, end.reason.status());
     }
 
     /// Cancels an attempt and reports its end with `status`, or with [`Status::NotSent`] if the endpoint can't have
--- a/src/node/runtime/open_request.rs
+++ b/src/node/runtime/open_request.rs
@@ -9,7 +9,7 @@
     runtime::{clock::Clock, timers::TimerKey},
     wire::{client_request::UpstreamRequest, stream::RequestBody},
 };
-use oliverack::{EndpointId, Seconds, Time};
+use oliverack::{AttemptEndTime, EndpointId, ResponseLimits, Seconds, Time};
 use std::{fmt::Debug, rc::Rc, time::Instant};
 use tokio::{sync::oneshot, task::AbortHandle};
 use tracing::debug;
@@ -27,16 +27,25 @@
     pub sent_at: Time,
     /// Maximum time until the first byte of the response, from `started_at` or, if that is later, from the start of the client's wait.
     pub timeout: Seconds,
-    /// Time at which a streamed response started; `None` before that and for responses that are not streamed.
-    pub response_started_at: Option<Time>,
+    /// Streamed response that the client is being sent; `None` before that and for responses that are not streamed.
+    pub stream: Option<StartedStream>,
     /// Progress of writing the request to the endpoint.
     pub progress: ProgressHandle,
     /// Task that carries out the attempt. Aborting the task closes the attempt's connection.
     pub task: AbortHandle,
-    /// Timer of the timeout; `None` once a streamed response has started.
+    /// Timer of the attempt's end; `None` before it is set.
     pub timeout_timer: Option<TimerKey>,
 }
 
+/// A streamed response whose first data has arrived.
+#[derive(Debug, Clone, Copy)]
+pub struct StartedStream {
+    /// Time at which the stream started.
+    pub started_at: Time,
+    /// Length of the complete body in bytes; `None` if it is unknown.
+    pub length: Option<u64>,
+}
+
 impl InFlightAttempt {
     /// Returns the endpoint and how far the attempt has come, for logs.
     fn describe(&self) -> (EndpointId, AttemptProgress) {
@@ -45,7 +54,7 @@
 
     /// Returns whether the endpoint certainly has not begun to run the attempt.
     fn is_unsent(&self) -> bool {
-        self.response_started_at.is_none() && !self.progress.may_have_run()
+        self.stream.is_none() && !self.progress.may_have_run()
     }
 }
 
@@ -196,16 +205,22 @@
         self.wait_started_at.unwrap_or(now) + self.time_limit
     }
 
-    /// Returns the time at which an attempt times out, if the client sends the request's last byte at `now` or has done
-    /// so. The attempt's timeout bounds the wait for a response; a request that is partly written, or a response that is
-    /// arriving, may take until the deadline. `None` if the attempt has ended or its response was delivered as a stream.
-    pub fn attempt_due_at(&self, number: u32, now: Time) -> Option<Time> {
+    /// Returns when and why an attempt is ended, if the client sends the request's last byte at `now` or has done so. No
+    /// more of a request is read once its response has started, so the client's wait then counts from the start of the
+    /// response at the latest. `None` if the attempt has ended.
+    pub fn attempt_end_time(&self, number: u32, now: Time) -> Option<AttemptEndTime> {
         let attempt = self.attempts.get(number as usize)?.as_ref()?;
-        attempt.timeout_timer?;
-        if attempt.progress.is_in_transit() {
-            return Some(self.deadline(now));
-        }
-        Some(attempt.started_at.max(self.wait_started_at.unwrap_or(now)) + attempt.timeout)
+        let latest_wait_start = attempt.stream.map_or(now, |stream| stream.started_at);
+        let wait_started_at = self.wait_started_at.unwrap_or(latest_wait_start);
+        let limits = ResponseLimits {
+            timeout_at: attempt.started_at.max(wait_started_at) + attempt.timeout,
+            deadline: wait_started_at + self.time_limit,
+        };
+        let progress = match attempt.stream {
+            Some(stream) => attempt.progress.stream_progress(stream.length),
+            None => attempt.progress.response_progress(),
+        };
+        Some(limits.end_time(&progress, now))
     }
 
     /// Returns the time at which a time limit that is now due at `due` is checked again. While the client is awaited the
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -166,7 +166,7 @@
         request.update_wait_start(&self.clock);
         request.mark_received(now);
         for (_, attempt) in request.attempts_mut() {
-            if attempt.response_started_at.is_none() {
+            if attempt.stream.is_none() {
                 attempt.sent_at = now;
             }
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,3 +25,7 @@
 mod timers;
 
 pub use gateway::Gateway;
+pub use requests::{
+    ArrivalPace, AttemptEndTime, EndReason, MAX_SHORT_BODY_BYTES, Pace, ResponseLimits, ResponseProgress,
+    StreamProgress,
+};
--- a/tests/unit/open_request.rs
+++ b/tests/unit/open_request.rs
@@ -30,7 +30,7 @@
         started_at: 10.0,
         sent_at: 10.0,
         timeout: 0.5,
-        response_started_at,
+        stream: response_started_at.map(|started_at| StartedStream { started_at, length: None }),
         progress: ProgressHandle::default(),
         task: runtime.spawn(async {}).abort_handle(),
         timeout_timer: None,
