End after the last response instead of before the earliest SIGKILL

Cause: Schedule::exit_at took the earliest SIGKILL for the time at which the process has to be gone.

Change: the exit has no time any more. 0.4 s before the earliest SIGKILL the requests that wait are failed and further ones are rejected at once, as before (phase FinishResponses, logged as "finishing responses"); the process ends with its last connection. Each connection is bounded by its own limits on progress. Further signals change nothing, and a predecessor of an upgrade ends the same way.

The unit test of the schedule asserted the exit time of 3500 ms, which no longer exists.

--- a/src/node/connection/clients/context.rs
+++ b/src/node/connection/clients/context.rs
@@ -28,7 +28,7 @@
     pub hold_ups: HoldUpMonitor,
     /// True if a shutdown has begun; each response then closes its connection.
     pub is_stopping: Cell<bool>,
-    /// True if no time is left to answer further requests before the process ends.
+    /// True if the process may be killed before an endpoint could respond to a further request.
     pub rejects_requests: Cell<bool>,
 }
 
--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Rejects all further requests, as the process is about to end.
+    /// Rejects all further requests, as the process may be killed at any moment.
     pub fn reject_requests(&self) {
         self.context.rejects_requests.set(true);
     }
--- a/src/node/runtime/requests.rs
+++ b/src/node/runtime/requests.rs
@@ -29,7 +29,7 @@
 pub enum FailureReason {
     /// The client no longer waits.
     DeadlinePassed,
-    /// The process is about to end.
+    /// The process may be killed soon.
     Shutdown,
 }
 
@@ -71,7 +71,7 @@
         self.respond(request_id, FinalResponse::Failed);
     }
 
-    /// Fails every open request, as the process is about to be killed.
+    /// Fails every request that waits, as the process may be killed soon. Responses that are on their way go on.
     pub fn fail_all(&self) {
         for request_id in self.table.ids() {
             self.fail_and_notify_policy(request_id, FailureReason::Shutdown);
--- a/src/node/shutdown.rs
+++ b/src/node/shutdown.rs
@@ -1,7 +1,9 @@
 //! Shuts the process down gracefully, from SIGTERM to its end.
 //!
-//! The platform kills the process some time after SIGTERM, so each phase ends at a fixed time before the kill.
-//! If a successor accepts new clients, the listener is closed at once and open connections are served for longer:
+//! The platform kills the process some time after SIGTERM, at the earliest after a time that follows from the settings.
+//! Shortly before that every request that waits gets its final response. From then on the process may be killed at any
+//! moment, but doesn't end by itself while a response is on its way: it rejects further requests and ends after its
+//! last response. If a successor accepts new clients, the listener is closed at once and open connections are served for longer:
 //! a client loses nothing by the close of its connection only while it has no request in flight.
 
 use crate::node::{connection::clients::ClientListener, runtime::driver::Driver};
@@ -10,24 +12,23 @@
     net::TcpListener,
     time::{Instant, sleep_until, timeout_at},
 };
+use tracing::info;
 
 /// Time after SIGTERM during which new connections are accepted. They still arrive for up to 0.4 s.
 const ACCEPT_TIME: Duration = Duration::from_millis(500);
 /// Time after SIGTERM during which open connections may bring requests. It is longer than [`ACCEPT_TIME`], as the
 /// connections accepted last need some time.
 const REQUEST_TIME: Duration = Duration::from_millis(650);
-/// Time from SIGTERM to SIGKILL, without the longest client wait that the platform adds.
+/// Earliest time from SIGTERM to SIGKILL, without the longest client wait that the platform adds.
 const KILL_TIME_WITHOUT_CLIENT_WAIT: Duration = Duration::from_millis(700);
-/// Maximum client wait that the platform adds to the time from SIGTERM to SIGKILL.
+/// Maximum client wait that the platform adds to the earliest time from SIGTERM to SIGKILL.
 const MAX_CLIENT_WAIT: Duration = Duration::from_secs(3);
-/// Time left until SIGKILL when open connections may no longer bring requests, if there is a successor.
+/// Time left until the earliest SIGKILL when open connections may no longer bring requests, if there is a successor.
 const LAST_REQUESTS_BEFORE_KILL: Duration = Duration::from_millis(1200);
-/// Time left until SIGKILL when requests that are still open are failed.
+/// Time left until the earliest SIGKILL when requests that still wait are failed.
 const FAIL_OPEN_BEFORE_KILL: Duration = Duration::from_millis(400);
-/// Time left until SIGKILL when the process ends, even with open connections.
-const EXIT_BEFORE_KILL: Duration = Duration::from_millis(200);
 
-/// Returns the time from SIGTERM to SIGKILL if clients wait for a response for at most `longest_client_wait` seconds.
+/// Returns the earliest time from SIGTERM to SIGKILL if clients wait for a response for at most `longest_client_wait` seconds.
 pub fn time_to_kill(longest_client_wait: f64) -> Duration {
     let wait = Duration::try_from_secs_f64(longest_client_wait).unwrap_or(MAX_CLIENT_WAIT);
     KILL_TIME_WITHOUT_CLIENT_WAIT + wait.min(MAX_CLIENT_WAIT)
@@ -41,8 +42,9 @@
     RefuseConnections,
     /// Idle connections are closed. Requests in flight, and those that are arriving, still get their responses.
     DrainRequests,
-    /// Open requests are failed and further ones rejected, so that each client has a response before SIGKILL.
-    FailOpenRequests,
+    /// Requests that wait are failed and further ones rejected, so that each client has a response before SIGKILL.
+    /// Responses that are on their way go on until they end or the process is killed.
+    FinishResponses,
     /// The process may exit.
     Ended,
 }
@@ -53,8 +55,8 @@
     /// Earliest time at which idle connections are closed.
     close_from: Instant,
     requests_until: Instant,
+    /// Time until which requests wait for their responses.
     responses_until: Instant,
-    exit_at: Instant,
 }
 
 impl Schedule {
@@ -69,7 +71,6 @@
             close_from: start + REQUEST_TIME,
             requests_until: start + request_time,
             responses_until: start + (kill_after - FAIL_OPEN_BEFORE_KILL),
-            exit_at: start + (kill_after - EXIT_BEFORE_KILL),
         }
     }
 }
@@ -83,7 +84,7 @@
 }
 
 impl Shutdown {
-    /// Begins the shutdown of a process that will be killed after `kill_after`. From now on, each connection is closed
+    /// Begins the shutdown of a process that may be killed after `kill_after`. From now on, each connection is closed
     /// after its response.
     pub fn begin(driver: Rc<Driver>, clients: Rc<ClientListener>, kill_after: Duration) -> Self {
         let start = Instant::now();
@@ -106,7 +107,7 @@
                 Phase::Serve(listener) => self.serve(&listener).await,
                 Phase::RefuseConnections => self.refuse_connections().await,
                 Phase::DrainRequests => self.drain_requests().await,
-                Phase::FailOpenRequests => self.fail_open_requests().await,
+                Phase::FinishResponses => self.finish_responses().await,
                 Phase::Ended => return,
             }
         }
@@ -131,25 +132,29 @@
         if self.all_connections_closed_by(self.schedule.responses_until).await {
             Phase::Ended
         } else {
-            Phase::FailOpenRequests
+            Phase::FinishResponses
         }
     }
 
-    async fn fail_open_requests(&self) -> Phase {
+    async fn finish_responses(&self) -> Phase {
         self.clients.reject_requests();
         self.driver.requests().fail_all();
-        self.all_connections_closed_by(self.schedule.exit_at).await;
+        info!(connections = self.clients.connection_count(), "finishing responses");
+        self.all_connections_closed().await;
         Phase::Ended
     }
 
     /// Waits until no connection is open, or until `deadline`. Returns whether all connections are closed.
     async fn all_connections_closed_by(&self, deadline: Instant) -> bool {
-        let all_closed = async {
-            while self.clients.connection_count() > 0 {
-                self.clients.connection_ended().await;
-            }
-        };
-        timeout_at(deadline, all_closed).await.is_ok()
+        timeout_at(deadline, self.all_connections_closed()).await.is_ok()
+    }
+
+    /// Waits until no connection is open. The time limits of connections and attempts bound the wait for peers that make
+    /// no progress.
+    async fn all_connections_closed(&self) {
+        while self.clients.connection_count() > 0 {
+            self.clients.connection_ended().await;
+        }
     }
 }
 
--- a/tests/fakes/client.rs
+++ b/tests/fakes/client.rs
@@ -1,9 +1,12 @@
 //! Clients of the gateway, and the requests that they send.
 
 use super::{Message, WAIT_LIMIT, message::read_message};
+use socket2::{Domain, Socket, Type};
 use std::{
     io::{BufReader, ErrorKind, Read, Write},
     net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
 };
 
 /// Request of a client; valid unless a test changes it.
@@ -108,3 +111,27 @@
         String::from_utf8_lossy(&received).into_owned()
     }
 }
+
+/// Opens a connection for which the system buffers little of a response, as for a client behind a slow link.
+pub fn connect_with_small_buffer(gateway: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(2048).expect("an open socket");
+    socket.set_tcp_mss(536).expect("an open socket");
+    socket.connect(&gateway.into()).expect("the gateway listens");
+    TcpStream::from(socket)
+}
+
+/// Reads from a socket at a limited rate.
+pub struct PacedReader {
+    pub socket: TcpStream,
+    pub bytes_per_second: f64,
+}
+
+impl Read for PacedReader {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        let length = buffer.len().min(2048);
+        let count = self.socket.read(&mut buffer[..length])?;
+        thread::sleep(Duration::from_secs_f64(count as f64 / self.bytes_per_second));
+        Ok(count)
+    }
+}
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -14,7 +14,7 @@
 mod raw_endpoint;
 mod temp_dir;
 
-pub use client::{Client, TestRequest};
+pub use client::{Client, PacedReader, TestRequest, connect_with_small_buffer};
 pub use counter::{CounterBehaviour, FakeCounter};
 pub use discovery::{FakeDiscovery, endpoint_entry};
 pub use endpoint::{EndpointBehaviour, EndpointEvent, FakeEndpoint, Gate, wait_until_connection_is_reusable};
--- a/tests/fakes/node.rs
+++ b/tests/fakes/node.rs
@@ -115,7 +115,8 @@
         self.log.try_iter().collect()
     }
 
-    fn send_signal(&self, signal: &str) {
+    /// Sends a signal, such as `-INT`.
+    pub fn send_signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill").args([signal, &pid]).status().expect("kill runs");
         assert!(status.success());
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -3,14 +3,14 @@
 
 mod fakes;
 use fakes::{
-    Client, EndpointBehaviour, FakeEndpoint, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming,
-    TestRequest, endpoint_entry, read_message, read_past_head, start_paced_writer,
+    Client, EndpointBehaviour, FakeEndpoint, Node, NodeBuilder, PacedPart, PacedReader, RawEndpoint,
+    ResponseFraming, TestRequest, connect_with_small_buffer, endpoint_entry, read_message, read_past_head,
+    start_paced_writer,
 };
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
 use std::{
     io::{BufRead, BufReader, Read, Write},
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr},
     thread,
     time::{Duration, Instant},
 };
@@ -176,21 +176,6 @@
     }
 }
 
-/// Reads from a socket at a limited rate.
-struct PacedReader {
-    socket: TcpStream,
-    bytes_per_second: f64,
-}
-
-impl Read for PacedReader {
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        let length = buffer.len().min(2048);
-        let count = self.socket.read(&mut buffer[..length])?;
-        thread::sleep(Duration::from_secs_f64(count as f64 / self.bytes_per_second));
-        Ok(count)
-    }
-}
-
 /// Guards against an upload that is cut off because its endpoint reads it for longer than the latency objective.
 #[test]
 fn upload_that_endpoint_reads_slowly_is_not_cut_off() {
@@ -251,12 +236,7 @@
     let response = [framing.head(BODY_BYTES), vec![b'd'; BODY_BYTES]].concat();
     let endpoint = start_paced_writer(vec![PacedPart { pause: Duration::ZERO, bytes: response }]);
     let node = start_gateway(&endpoint);
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    // The system buffers little of the response for the client, as for one behind a slow link.
-    socket.set_recv_buffer_size(2048).expect("an open socket");
-    socket.set_tcp_mss(536).expect("an open socket");
-    socket.connect(&node.addr.into()).expect("the gateway listens");
-    let mut client = TcpStream::from(socket);
+    let mut client = connect_with_small_buffer(node.addr);
     let request = TestRequest::new("paused").with_header("Connection", "close");
     client.write_all(&request.to_bytes()).expect("an open socket");
     client.read_exact(&mut [0; 12]).expect("the beginning of a response");
--- a/tests/unit/shutdown.rs
+++ b/tests/unit/shutdown.rs
@@ -24,7 +24,6 @@
     assert_eq!(millis_between(start, schedule.close_from), 650);
     assert_eq!(millis_between(start, schedule.requests_until), 650);
     assert_eq!(millis_between(start, schedule.responses_until), 3300);
-    assert_eq!(millis_between(start, schedule.exit_at), 3500);
 }
 
 #[test]
