Reset connections whose streamed response is incomplete, however they end

What callers saw: a client of HTTP/1.0, to which the end of the connection ends a response without a length, took a part of it for the whole when the process was killed, or when the gateway gave the client up after 10 s without progress.

Cause: the connection was made to reset on close only where the stream broke. The system closes the connections of a process that ends, or of an aborted task, as if all had been sent.

Change: a streamed response sets the connection to reset on close before its first byte, and back once it is complete.

--- a/src/node/connection/clients/response_writer.rs
+++ b/src/node/connection/clients/response_writer.rs
@@ -18,7 +18,7 @@
     io::{self, Write},
     time::Duration,
 };
-use tokio::io::AsyncWriteExt;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 /// Size of the system's send buffer for a streamed response. It is limited because bytes that wait there for a slow
 /// client take memory as well.
@@ -75,22 +75,30 @@
     // A failure leaves the system's default, which is larger.
     let _ = SockRef::from(&socket.tcp).set_send_buffer_size(SEND_BUFFER_BYTES);
     let is_chunked = length.is_none() && minor_version > 0;
+    reset_on_close(&socket.tcp, true);
     match (ResponseStream { socket, memory, is_chunked, head }).forward(frames).await? {
-        StreamOutcome::Complete => Ok(Delivery::Complete(outcome)),
+        StreamOutcome::Complete => {
+            reset_on_close(&socket.tcp, false);
+            Ok(Delivery::Complete(outcome))
+        }
         StreamOutcome::Unstarted => {
+            reset_on_close(&socket.tcp, false);
             let failure = ClientResponse::without_body(StatusCode::BAD_GATEWAY);
             socket.tcp.write_all(&failure.render_head(keep_alive, minor_version)).await?;
             Ok(Delivery::Complete(failure.outcome()))
         }
-        StreamOutcome::Truncated => {
-            // Turns the close into a reset, so that a client that takes a close for the end of the body sees that the
-            // body is incomplete.
-            let _ = SockRef::from(&socket.tcp).set_linger(Some(Duration::ZERO));
-            Ok(Delivery::Truncated)
-        }
+        StreamOutcome::Truncated => Ok(Delivery::Truncated),
     }
 }
 
+/// Sets whether a close of the connection resets it. While a streamed response is incomplete it must: a client that takes
+/// a close for the end of the body sees by the reset that the body is incomplete, whatever closes the connection, also the
+/// end of the process.
+fn reset_on_close(tcp: &TcpStream, is_enabled: bool) {
+    // A failure means that the connection has ended.
+    let _ = SockRef::from(tcp).set_linger(is_enabled.then_some(Duration::ZERO));
+}
+
 /// A response that is forwarded to the client as it arrives from the endpoint.
 struct ResponseStream<'a, 'c> {
     socket: &'a mut ClientSocket<'c>,
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -3,12 +3,12 @@
 
 mod fakes;
 use fakes::{
-    Client, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming, TestRequest, read_past_head,
-    start_paced_writer,
+    Client, Node, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming, TestRequest,
+    connect_with_small_buffer, read_past_head, start_paced_writer,
 };
 use std::{
     io::{Read, Write},
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
@@ -242,3 +242,53 @@
     let incomplete: Vec<String> = runs.into_iter().flat_map(|run| run.join().expect("no panic")).collect();
     assert!(incomplete.is_empty(), "{incomplete:#?}");
 }
+
+/// Length of a response that does not fit into the buffers between the gateway and a client that reads nothing.
+const LARGE_BODY_BYTES: usize = 4_000_000;
+
+/// Starts a client of HTTP/1.0, which takes the end of the connection for the end of a response, and reads the beginning of
+/// a large response.
+fn start_large_response(gateway: SocketAddr) -> TcpStream {
+    let [_, request] = closing_requests("large", "25.0");
+    let mut client = connect_with_small_buffer(gateway);
+    client.write_all(&request.to_bytes()).expect("an open socket");
+    client.read_exact(&mut [0; 1000]).expect("the beginning of a response");
+    client
+}
+
+/// Asserts that the client sees that its response is not complete.
+fn assert_visibly_broken(mut client: TcpStream) {
+    let mut received = Vec::new();
+    let end = client.read_to_end(&mut received);
+    assert!(received.len() < LARGE_BODY_BYTES, "otherwise nothing is shown");
+    assert!(end.is_err(), "{} bytes, then the end of the connection", received.len());
+}
+
+/// Guards against a client that takes what it got for the whole response, because the process was killed.
+#[test]
+fn response_without_length_is_visibly_broken_when_process_is_killed() {
+    let endpoint = start_large_writer();
+    let node = start_gateway(&endpoint);
+    let client = start_large_response(node.addr);
+    drop(node);
+    assert_visibly_broken(client);
+}
+
+/// Guards against a client that takes what it got for the whole response, because the gateway has given it up.
+#[test]
+fn response_without_length_is_visibly_broken_when_client_stalls() {
+    /// Longer than the gateway waits for a client that takes nothing.
+    const STALL: Duration = Duration::from_millis(11_500);
+    let endpoint = start_large_writer();
+    let node = start_gateway(&endpoint);
+    let client = start_large_response(node.addr);
+    thread::sleep(STALL);
+    assert_visibly_broken(client);
+}
+
+fn start_large_writer() -> RawEndpoint {
+    let framing = ResponseFraming::Chunked;
+    let data = framing.frame(&vec![b'z'; LARGE_BODY_BYTES]);
+    let bytes = [framing.head(LARGE_BODY_BYTES), data, framing.end()].concat();
+    start_paced_writer(vec![PacedPart { pause: Duration::ZERO, bytes }])
+}
