Keep a stopping process until its system has sent what was written

What was seen: after SIGTERM the process ended up to seconds before a slow client had its response, which the system went on sending. Where machine or network go down with the process, that end is lost.

Cause: a connection counted as ended once its response was in the system's buffer and the linger of 0.5 s was over.

Change: while the process is stopping, a connection ends only when the system has nothing left to send on it (TIOCOUTQ, through libc, which was in the lock file already), within 10 s. Connections that become idle in a shutdown are asked to close by the periodic check.

--- a/src/node/connection/clients/exchange.rs
+++ b/src/node/connection/clients/exchange.rs
@@ -167,6 +167,7 @@
     pub async fn close(mut self) {
         self.socket.shut_down_sending().await;
         self.discard_unread_body().await;
+        self.socket.drain_output().await;
         self.socket.linger().await;
     }
 
--- a/src/node/connection/clients/listener.rs
+++ b/src/node/connection/clients/listener.rs
@@ -33,6 +33,8 @@
     /// Notified whenever a connection ends.
     connection_ended: Notify,
     is_accepting: Cell<bool>,
+    /// True once idle connections are to be closed.
+    closes_idle: Cell<bool>,
     /// Socket that was accepted and waits for capacity to be served.
     pending_socket: RefCell<Option<TcpStream>>,
     /// True if a failure to accept was logged since the last accepted connection. Repeated failures are not logged.
@@ -49,6 +51,7 @@
             max_connections,
             connection_ended: Notify::new(),
             is_accepting: Cell::new(false),
+            closes_idle: Cell::new(false),
             pending_socket: RefCell::default(),
             is_accept_failure_logged: Cell::new(false),
         })
@@ -61,8 +64,10 @@
         self.serve_pending_socket();
     }
 
-    /// Asks each connection to close: at once if no byte of a request has arrived, otherwise after the response.
+    /// Asks each connection to close: at once if no byte of a request has arrived, otherwise after the response. From now on
+    /// connections that become idle are closed.
     pub fn close_connections(&self) {
+        self.closes_idle.set(true);
         for connection in self.connections.borrow().values() {
             connection.request_close();
         }
@@ -152,6 +157,9 @@
             sleep(timeouts::CHECK_INTERVAL).await;
             self.context.hold_ups.tick(Instant::now());
             timeouts::enforce(&self.connections.borrow(), &self.context.metrics.cuts);
+            if self.closes_idle.get() {
+                timeouts::close_idle(&self.connections.borrow());
+            }
         }
     }
 
--- a/src/node/connection/clients/socket.rs
+++ b/src/node/connection/clients/socket.rs
@@ -8,6 +8,7 @@
             state::{CloseReason, ConnectionEnd, ConnectionState, Stage},
         },
         socket_input::has_input,
+        socket_output::has_unsent_output,
     },
     wire::{
         body_arrival::{BodyArrival, MAX_UNREAD_BYTES, RECEIVE_BUFFER_BYTES},
@@ -17,10 +18,17 @@
 use bytes::BytesMut;
 use hyper::StatusCode;
 use socket2::SockRef;
-use std::{cell::Cell, future::poll_fn, io, pin::pin, time::Instant};
+use std::{
+    cell::Cell,
+    future::poll_fn,
+    io,
+    pin::pin,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::TcpStream,
+    time::sleep,
 };
 
 /// Interim response that asks the client to send the body.
@@ -32,6 +40,11 @@
 const CLIENT_DISCONNECTED: ConnectionEnd = ConnectionEnd::WithoutResponse(CloseReason::ClientDisconnected);
 /// Largest number of bytes discarded at once behind a request.
 const DISCARD_READ_BYTES: usize = 16 * 1024;
+/// Interval at which the connection of a process that is about to end looks for output that is still to be sent.
+const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest time for which an idle connection waits for its output to be sent when the process is about to end. Slow
+/// clients take what fits into the system's buffer in less.
+const MAX_DRAIN_TIME: Duration = Duration::from_secs(10);
 /// Highest number of reads while a connection closes: 256 KiB in total.
 const MAX_LINGER_READS: usize = 64;
 
@@ -154,6 +167,10 @@
         if self.state.is_evicted.get() {
             CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Evicted))
         } else if !self.state.has_request_begun() {
+            // The close is requested again soon.
+            if self.holds_last_output() && self.state.entered_at.get().elapsed() < MAX_DRAIN_TIME {
+                return CloseSignal::Outdated;
+            }
             CloseSignal::Close(ConnectionEnd::WithoutResponse(CloseReason::Idle))
         } else if self.state.is_request_overdue() {
             CloseSignal::Close(ConnectionEnd::WithStatus(StatusCode::REQUEST_TIMEOUT))
@@ -245,6 +262,20 @@
         ReadAhead::LimitReached
     }
 
+    /// Returns whether the process is about to end while its system still sends output to the client.
+    fn holds_last_output(&self) -> bool {
+        self.context.is_stopping.get() && has_unsent_output(&self.tcp)
+    }
+
+    /// Waits until the system has sent all output, if the process is about to end. What its system still sends may be lost
+    /// with the machine. The time limit of [`Stage::WritingResponse`] bounds the wait.
+    pub async fn drain_output(&self) {
+        self.state.enter(Stage::WritingResponse);
+        while self.holds_last_output() {
+            sleep(DRAIN_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Shuts down the sending side. Ignores a failure, because a later read detects the disconnect.
     pub async fn shut_down_sending(&mut self) {
         let _ = self.tcp.shutdown().await;
--- a/src/node/connection/clients/timeouts.rs
+++ b/src/node/connection/clients/timeouts.rs
@@ -24,6 +24,13 @@
     }
 }
 
+/// Asks each idle connection to close.
+pub fn close_idle(connections: &ConnectionTable) {
+    for connection in connections.values().filter(|connection| connection.stage.get() == Stage::Idle) {
+        connection.request_close();
+    }
+}
+
 fn enforce_on_connection(connection: &ConnectionState, cuts: &CutCounters) {
     let time_in_stage = connection.entered_at.get().elapsed();
     match connection.stage.get() {
--- a/src/node/connection/mod.rs
+++ b/src/node/connection/mod.rs
@@ -17,3 +17,4 @@
 pub mod operators;
 pub mod response_body;
 pub mod socket_input;
+pub mod socket_output;
--- a/tests/shutdown_in_response.rs
+++ b/tests/shutdown_in_response.rs
@@ -130,6 +130,47 @@
     }
 }
 
+/// Guards against a process that ends while its system still sends the end of a response, which is lost if the machine goes
+/// down after the process.
+#[test]
+fn process_does_not_end_before_its_clients_have_what_was_sent() {
+    /// Fits into the system's buffer for sending.
+    const BODY_BYTES: usize = 180_000;
+    const BYTES_PER_SECOND: f64 = 45_000.0;
+    /// Bytes that the client's system may hold when the gateway's system has sent everything, in time.
+    const CLIENT_BUFFER_TIME: Duration = Duration::from_millis(800);
+    for connection in ["keep-alive", "close"] {
+        let framing = ResponseFraming::Length;
+        let bytes = [framing.head(BODY_BYTES), vec![b'd'; BODY_BYTES]].concat();
+        let endpoint = start_paced_writer(vec![PacedPart { pause: Duration::ZERO, bytes }]);
+        let mut node = builder(&endpoint).start();
+        let gateway = node.addr;
+        let client = thread::spawn(move || {
+            let mut socket = connect_with_small_buffer(gateway);
+            let request = request("sent").with_header("Connection", connection);
+            socket.write_all(&request.to_bytes()).expect("an open socket");
+            let socket = socket.try_clone().expect("an open socket");
+            let mut reader = BufReader::new(PacedReader { socket, bytes_per_second: BYTES_PER_SECOND });
+            let (received, at) = answer(read_message(&mut reader));
+            // The client does not close before the gateway does.
+            let rest = reader.read_to_end(&mut Vec::new());
+            (received, at, rest.ok())
+        });
+        thread::sleep(TERMINATE_AFTER);
+        node.terminate();
+        assert!(node.wait_for_exit().success());
+        let ended_at = Instant::now();
+        let (received, at, rest) = client.join().expect("no panic");
+        assert_eq!((received, rest), (Some((200, BODY_BYTES)), Some(0)), "{connection}");
+        assert!(
+            ended_at + CLIENT_BUFFER_TIME > at,
+            "{connection}: {:?} before the client's end",
+            at - ended_at
+        );
+        assert!(ended_at < at + EXIT_TIME, "{connection}");
+    }
+}
+
 /// Guards against requests that wait behind a long shutdown, or come in it, and get no answer before SIGKILL.
 #[test]
 fn requests_in_long_shutdown_are_answered() {
