Test the end of the process with clients whose system holds little, without slack

The test of the output that is still to be sent allowed the process to end 0.8 s before its client had everything. With clients whose own system holds little no slack is needed but the 50 ms of the test's own look.

A longer wait for the client's close, for what its own system holds, was tried and dropped: clients that stay open after a response then hold the process for that time, which has to end soon after its last response.

--- a/tests/shutdown_in_response.rs
+++ b/tests/shutdown_in_response.rs
@@ -134,11 +134,11 @@
 /// down after the process.
 #[test]
 fn process_does_not_end_before_its_clients_have_what_was_sent() {
-    /// Fits into the system's buffer for sending.
+    /// Fits into the systems' buffers.
     const BODY_BYTES: usize = 180_000;
-    const BYTES_PER_SECOND: f64 = 45_000.0;
-    /// Bytes that the client's system may hold when the gateway's system has sent everything, in time.
-    const CLIENT_BUFFER_TIME: Duration = Duration::from_millis(800);
+    const BYTES_PER_SECOND: f64 = 64_000.0;
+    /// More than the interval at which the test looks for the end of the process.
+    const TOLERANCE: Duration = Duration::from_millis(50);
     for connection in ["keep-alive", "close"] {
         let framing = ResponseFraming::Length;
         let bytes = [framing.head(BODY_BYTES), vec![b'd'; BODY_BYTES]].concat();
@@ -146,10 +146,10 @@
         let mut node = builder(&endpoint).start();
         let gateway = node.addr;
         let client = thread::spawn(move || {
+            // The client's own system holds little of what it has not read.
             let mut socket = connect_with_small_buffer(gateway);
             let request = request("sent").with_header("Connection", connection);
             socket.write_all(&request.to_bytes()).expect("an open socket");
-            let socket = socket.try_clone().expect("an open socket");
             let mut reader = BufReader::new(PacedReader { socket, bytes_per_second: BYTES_PER_SECOND });
             let (received, at) = answer(read_message(&mut reader));
             // The client does not close before the gateway does.
@@ -162,11 +162,7 @@
         let ended_at = Instant::now();
         let (received, at, rest) = client.join().expect("no panic");
         assert_eq!((received, rest), (Some((200, BODY_BYTES)), Some(0)), "{connection}");
-        assert!(
-            ended_at + CLIENT_BUFFER_TIME > at,
-            "{connection}: {:?} before the client's end",
-            at - ended_at
-        );
+        assert!(ended_at + TOLERANCE > at, "{connection}: {:?} before the client's end", at - ended_at);
         assert!(ended_at < at + EXIT_TIME, "{connection}");
     }
 }
