Use the common slow writer in the tests of slow endpoints

tests/slow_endpoints.rs had a second form of the framing of responses and of an endpoint that writes in parts. Same parts, pauses and assertions.

--- a/tests/slow_endpoints.rs
+++ b/tests/slow_endpoints.rs
@@ -2,7 +2,10 @@
 //! in time, and a response that an endpoint still writes is not cut off.
 
 mod fakes;
-use fakes::{Client, NodeBuilder, RawEndpoint, TestRequest, read_at_rate, read_past_head};
+use fakes::{
+    Client, NodeBuilder, PacedPart, RawEndpoint, ResponseFraming, TestRequest, read_at_rate, read_past_head,
+    start_paced_writer,
+};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
@@ -147,40 +150,19 @@
     }
 }
 
-/// Returns the head and the body parts of a response with this many bytes in each part.
-fn response_parts(framing: &str, part_bytes: usize, parts: usize) -> (String, Vec<Vec<u8>>) {
-    let data = vec![b'd'; part_bytes];
-    let header = match framing {
-        "length" => format!("Content-Length: {}", part_bytes * parts),
-        "chunked" => "Transfer-Encoding: chunked".to_owned(),
-        _ => "Connection: close".to_owned(),
-    };
-    let part = match framing {
-        "chunked" => [format!("{part_bytes:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
-        _ => data,
-    };
-    let mut parts = vec![part; parts];
-    if framing == "chunked" {
-        parts.push(b"0\r\n\r\n".to_vec());
-    }
-    (format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n"), parts)
-}
-
-/// Starts an endpoint that writes a response in parts, with a pause before each but the first.
-fn start_slow_writer(framing: &'static str, part_bytes: usize, parts: usize, pause: Duration) -> RawEndpoint {
-    RawEndpoint::start(move |mut socket| {
-        if !read_past_head(&mut socket) {
-            return;
-        }
-        let (head, parts) = response_parts(framing, part_bytes, parts);
-        let _ = socket.write_all(head.as_bytes());
-        for (number, part) in parts.iter().enumerate() {
-            if number > 0 {
-                thread::sleep(pause);
-            }
-            let _ = socket.write_all(part);
-        }
-    })
+/// Starts an endpoint that writes a response in parts of this length, with a pause before each but the first.
+fn start_slow_writer(
+    framing: ResponseFraming,
+    part_bytes: usize,
+    parts: usize,
+    pause: Duration,
+) -> RawEndpoint {
+    let part = framing.frame(&vec![b'd'; part_bytes]);
+    let first = [framing.head(part_bytes * parts), part.clone()].concat();
+    let first = PacedPart { pause: Duration::ZERO, bytes: first };
+    let further = vec![PacedPart { pause, bytes: part }; parts - 1];
+    let end = PacedPart { pause, bytes: framing.end() };
+    start_paced_writer([vec![first], further, vec![end]].concat())
 }
 
 /// Returns the number of body bytes that a client receives until the gateway closes the connection.
@@ -197,7 +179,7 @@
 fn long_response_that_endpoint_writes_slowly_is_not_cut_off() {
     let cases = [(10_000, 30, Duration::from_millis(100)), (20_000, 5, Duration::from_millis(1500))];
     thread::scope(|scope| {
-        for framing in ["length", "chunked", "close"] {
+        for framing in ResponseFraming::ALL {
             for (part_bytes, parts, pause) in cases {
                 scope.spawn(move || {
                     let endpoint = start_slow_writer(framing, part_bytes, parts, pause);
@@ -210,7 +192,7 @@
                     let body_bytes = part_bytes * parts;
                     assert!(
                         (body_bytes..=body_bytes + letters).contains(&received),
-                        "{framing}, pauses of {pause:?}: {received} of {body_bytes} bytes"
+                        "{framing:?}, pauses of {pause:?}: {received} of {body_bytes} bytes"
                     );
                 });
             }
