Test the silence that ends a long response, and that any byte breaks it

The limit was held by a unit test only. The new test shows it on sockets: 10 s of silence end a response of over 64 KiB, and one of which only bytes of the framing come, 4 s apart, is complete.

--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -292,3 +292,34 @@
     let bytes = [framing.head(LARGE_BODY_BYTES), data, framing.end()].concat();
     start_paced_writer(vec![PacedPart { pause: Duration::ZERO, bytes }])
 }
+
+/// Guards against a long response that keeps its client for ever behind an endpoint that has fallen silent, and against one
+/// that is cut off while its endpoint gives only bytes of the framing.
+#[test]
+fn long_response_ends_with_silence_of_its_endpoint_only() {
+    /// Silence after which the gateway gives a long response up.
+    const MAX_SILENCE: Duration = Duration::from_secs(10);
+    const FEW_BYTES_PAUSE: Duration = Duration::from_secs(4);
+    let framing = ResponseFraming::Chunked;
+    let beginning = [framing.head(100_000), framing.frame(&vec![b'z'; 100_000])].concat();
+    let run = |rest: Vec<&[u8]>| {
+        let mut parts = vec![PacedPart { pause: Duration::ZERO, bytes: beginning.clone() }];
+        parts.extend(rest.iter().map(|bytes| PacedPart { pause: FEW_BYTES_PAUSE, bytes: bytes.to_vec() }));
+        let [request, _] = closing_requests("long", WAIT_HEADER);
+        thread::spawn(move || {
+            let endpoint = start_paced_writer(parts);
+            let node = start_gateway(&endpoint);
+            read_to_end(node.addr, &request, Duration::from_secs(25))
+        })
+    };
+    // The size of a chunk, its extension, the chunk and the end come one after another.
+    let few_bytes = run(vec![b"1", b";x", b"=1\r\nz", b"\r\n0\r\n\r\n"]);
+    let silent = run(vec![b"1\r\nz\r\n", b"", b"", b"", b""]);
+    let few_bytes = few_bytes.join().expect("no panic");
+    assert!(few_bytes.looks_complete() && few_bytes.data_bytes() == 100_001, "{}", few_bytes.describe());
+    let silent = silent.join().expect("no panic");
+    let silence = silent.after.map(|after| after.saturating_sub(FEW_BYTES_PAUSE));
+    let is_in_time =
+        silence.is_some_and(|silence| silence >= MAX_SILENCE && silence < MAX_SILENCE + END_GRACE);
+    assert!(is_in_time && !silent.looks_complete(), "{}", silent.describe());
+}
