Allow for a first pause of a body only after 16 to 32 KiB of it

What callers saw: a short response without a length of which 10,000 bytes came at once and then nothing was taken for a long one that pauses, and its client had the end about 1.4 s late. The unit test of the pace and the new case of the socket test hold this form. A pause of up to 0.2 s counts as none, so that a busy machine does not turn a long response into a short one.

--- a/src/policy/requests/arrival_pace.rs
+++ b/src/policy/requests/arrival_pace.rs
@@ -4,6 +4,7 @@
     interface::{Seconds, Time},
     primitives::decaying_sum::DecayingSum,
 };
+use std::ops::RangeInclusive;
 
 /// Rate from which on a body arrives fast. Slow peers send 64 kB a second, possibly in bursts.
 const FAST_BYTES_PER_SECOND: f64 = 32_000.0;
@@ -11,11 +12,13 @@
 const RATE_TIME_CONSTANT: Seconds = 0.3;
 /// Highest recent rate, so that a large burst does not count for long.
 const MAX_BYTES_PER_SECOND: f64 = 2.0 * FAST_BYTES_PER_SECOND;
-/// Longest pause after which a body may go on of which little has arrived.
+/// Pause that shows nothing, as a busy process or endpoint causes such.
+const NEGLIGIBLE_PAUSE: Seconds = 0.2;
+/// Longest pause after which a body may go on that has not paused before.
 const MAX_FIRST_PAUSE: Seconds = 2.0;
-/// Number of bytes up to which little of a body has arrived. If more has, and the body stops for the first
-/// time, only its end is likely to be missing.
-const FEW_BYTES: u64 = 32 * 1024;
+/// Numbers of bytes after which a body may pause for the first time. Of fewer the rest is likely to be short,
+/// too; after more only the end is likely to be missing.
+const BYTES_BEFORE_FIRST_PAUSE: RangeInclusive<u64> = 16 * 1024..=32 * 1024;
 /// Longest pause after which a body may go on, relative to the longest one after which it did.
 const PAUSE_FACTOR: f64 = 2.0;
 
@@ -69,9 +72,9 @@
     /// Returns whether a body of which `received_bytes` have arrived may be expected to go on: it arrives
     /// fast, or pauses no longer than it may.
     pub fn goes_on(&self, received_bytes: u64) -> bool {
-        let longest_pause = PAUSE_FACTOR * self.longest_pause;
-        let max_pause =
-            if received_bytes <= FEW_BYTES { MAX_FIRST_PAUSE.max(longest_pause) } else { longest_pause };
+        let is_first_pause_allowed = BYTES_BEFORE_FIRST_PAUSE.contains(&received_bytes);
+        let max_first_pause = if is_first_pause_allowed { MAX_FIRST_PAUSE } else { NEGLIGIBLE_PAUSE };
+        let max_pause = max_first_pause.max(PAUSE_FACTOR * self.longest_pause);
         self.pause.is_some_and(|pause| pause <= max_pause)
     }
 }
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -148,6 +148,7 @@
         EndlessResponse::new(&named("1 byte in 2 ms"), &[&head, &beginning], &piece(1), 2),
         EndlessResponse::new(&named("100 bytes in 10 ms"), &[&head, &beginning], &piece(100), 10),
         EndlessResponse::new(&named("1,000 bytes in 50 ms"), &[&head, &beginning], &piece(1000), 50),
+        EndlessResponse::new(&named("10,000 bytes, then silence"), &[&head, &piece(10_000)], b"", 100),
         EndlessResponse::new(&named("64,000 bytes, then silence"), &[&head, &almost_all], b"", 100),
         EndlessResponse::new(&named("64,000 bytes, then few"), &[&head, &almost_all], &piece(8), 400),
     ];
