Test that a response which overtakes its upload and never ends is broken off

The fix counts the client's wait from the start of the response there, as no more of the request is read; that had no test.

--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -324,3 +324,24 @@
         silence.is_some_and(|silence| silence >= MAX_SILENCE && silence < MAX_SILENCE + END_GRACE);
     assert!(is_in_time && !silent.looks_complete(), "{}", silent.describe());
 }
+
+/// Guards against a connection that stays open behind an endpoint that begins a short response before it has read the
+/// request, and ends neither.
+#[test]
+fn short_response_that_overtakes_its_upload_and_never_ends_is_broken_off() {
+    const BODY_BYTES: usize = 2_000_000;
+    /// More than the gateway buffers before it forwards a body.
+    const WRITTEN_BYTES: usize = 800_000;
+    let framing = ResponseFraming::Chunked;
+    let beginning = [framing.head(0), framing.frame(b"z")];
+    let endpoint =
+        EndlessResponse::new("", &[&beginning[0], &beginning[1]], &framing.frame(b"z"), 100).start();
+    let node = start_gateway(&endpoint);
+    let [mut request, _] = closing_requests("overtaken", WAIT_HEADER);
+    request = request.with_header("Content-Length", &BODY_BYTES.to_string());
+    request.body = vec![b'u'; WRITTEN_BYTES];
+    let ending = read_to_end(node.addr, &request, Duration::from_secs(5));
+    // The wait has not begun, as the request is not complete; the gateway counts it from the response.
+    let is_in_time = ending.after.is_some_and(|after| after <= CLIENT_WAIT + 2 * END_GRACE);
+    assert!(is_in_time && ending.status() == Some(200) && !ending.looks_complete(), "{}", ending.describe());
+}
