--- a/tests/shutdown_in_response.rs
+++ b/tests/shutdown_in_response.rs
@@ -48,11 +48,24 @@
     TestRequest::at_most_once(id).with_header("X-Remaining", "1.000")
 }
 
-/// What a client got, and when: status and bytes of the body, or `None` without a complete response.
-type Answer = (Option<(u16, usize)>, Instant);
+/// What a client got.
+struct Answer {
+    /// Status and length of the body; `None` without a complete response.
+    received: Option<(u16, usize)>,
+    /// Time at which the response, or the connection, ended.
+    ended_at: Instant,
+}
+
+impl Answer {
+    /// Returns the answer that has just ended.
+    fn new(response: Option<Message>) -> Self {
+        let received = response.map(|response| (response.status(), response.body.len()));
+        Self { received, ended_at: Instant::now() }
+    }
 
-fn answer(response: Option<Message>) -> Answer {
-    (response.map(|response| (response.status(), response.body.len())), Instant::now())
+    fn status(&self) -> Option<u16> {
+        self.received.map(|(status, _)| status)
+    }
 }
 
 /// Returns a reader of responses at a limited rate.
@@ -67,7 +80,7 @@
     thread::spawn(move || {
         let mut socket = connect_with_small_buffer(gateway);
         socket.write_all(&request.to_bytes()).expect("an open socket");
-        answer(read_message(&mut slow_reader(&socket)))
+        Answer::new(read_message(&mut slow_reader(&socket)))
     })
 }
 
@@ -94,10 +107,10 @@
         assert!(idle.read_response().is_none(), "idle connections are closed");
         let answers: Vec<Answer> =
             clients.into_iter().map(|client| client.join().expect("no panic")).collect();
-        for (received, _) in &answers {
-            assert_eq!(*received, Some((200, LONG_BODY_BYTES)), "{framing:?}");
+        for answer in &answers {
+            assert_eq!(answer.received, Some((200, LONG_BODY_BYTES)), "{framing:?}");
         }
-        let last_response = answers.iter().map(|(_, at)| *at).max().expect("clients");
+        let last_response = answers.iter().map(|answer| answer.ended_at).max().expect("clients");
         assert!(last_response > terminated_at + EARLIEST_KILL, "otherwise nothing is shown");
         assert_exit_soon_after(&mut node, last_response);
     }
@@ -120,9 +133,9 @@
             client.send(&request("given"));
             thread::sleep(TERMINATE_AFTER);
             node.terminate();
-            let (received, at) = answer(client.read_response());
-            assert_eq!(received, Some((200, BODY_BYTES)), "{framing:?}");
-            assert_exit_soon_after(&mut node, at);
+            let answer = Answer::new(client.read_response());
+            assert_eq!(answer.received, Some((200, BODY_BYTES)), "{framing:?}");
+            assert_exit_soon_after(&mut node, answer.ended_at);
         })
     });
     for run in runs {
@@ -151,19 +164,20 @@
             let request = request("sent").with_header("Connection", connection);
             socket.write_all(&request.to_bytes()).expect("an open socket");
             let mut reader = BufReader::new(PacedReader { socket, bytes_per_second: BYTES_PER_SECOND });
-            let (received, at) = answer(read_message(&mut reader));
+            let answer = Answer::new(read_message(&mut reader));
             // The client does not close before the gateway does.
             let rest = reader.read_to_end(&mut Vec::new());
-            (received, at, rest.ok())
+            (answer, rest.ok())
         });
         thread::sleep(TERMINATE_AFTER);
         node.terminate();
         assert!(node.wait_for_exit().success());
-        let ended_at = Instant::now();
-        let (received, at, rest) = client.join().expect("no panic");
-        assert_eq!((received, rest), (Some((200, BODY_BYTES)), Some(0)), "{connection}");
-        assert!(ended_at + TOLERANCE > at, "{connection}: {:?} before the client's end", at - ended_at);
-        assert!(ended_at < at + EXIT_TIME, "{connection}");
+        let exit_at = Instant::now();
+        let (answer, rest) = client.join().expect("no panic");
+        assert_eq!((answer.received, rest), (Some((200, BODY_BYTES)), Some(0)), "{connection}");
+        let early = answer.ended_at.saturating_duration_since(exit_at);
+        assert!(early < TOLERANCE, "{connection}: {early:?} before the client's end");
+        assert!(exit_at < answer.ended_at + EXIT_TIME, "{connection}");
     }
 }
 
@@ -195,7 +209,7 @@
             thread::sleep(TERMINATE_AFTER + EARLIEST_KILL);
             let _ = socket.write_all(&request("behind").to_bytes());
         });
-        let answers = [answer(read_message(&mut reader)), answer(read_message(&mut reader))];
+        let answers = [Answer::new(read_message(&mut reader)), Answer::new(read_message(&mut reader))];
         sending.join().expect("no panic");
         answers
     });
@@ -210,7 +224,7 @@
             thread::sleep(BODY_TIME / 40);
         }
         let written_at = Instant::now();
-        (written_at, answer(client.read_response()))
+        (written_at, Answer::new(client.read_response()))
     });
     thread::sleep(TERMINATE_AFTER);
     // Waits for an endpoint that is silent, until the process may be killed.
@@ -219,19 +233,21 @@
     thread::sleep(Duration::from_millis(50));
     node.terminate();
     let terminated_at = Instant::now();
-    let (received, at) = answer(waiting.read_response());
-    assert!(received.is_some() && at < terminated_at + EARLIEST_KILL, "{received:?}");
-    let (written_at, (received, at)) = late_client.join().expect("no panic");
+    let answer = Answer::new(waiting.read_response());
+    let is_in_time = answer.ended_at < terminated_at + EARLIEST_KILL;
+    assert!(answer.received.is_some() && is_in_time, "{:?}", answer.received);
+    let (written_at, answer) = late_client.join().expect("no panic");
     assert!(
         written_at > terminated_at + EARLIEST_KILL - Duration::from_millis(500),
         "otherwise nothing is shown"
     );
-    assert_eq!(received.map(|(status, _)| status), Some(503));
-    assert!(at < written_at + Duration::from_millis(300), "at once: the process may be killed at any moment");
-    let [(long, _), (behind, at)] = long_client.join().expect("no panic");
-    assert_eq!(long, Some((200, LONG_BODY_BYTES)));
-    assert_eq!(behind.map(|(status, _)| status), Some(503));
-    assert_exit_soon_after(&mut node, at);
+    assert_eq!(answer.status(), Some(503));
+    let is_at_once = answer.ended_at < written_at + Duration::from_millis(300);
+    assert!(is_at_once, "the process may be killed at any moment");
+    let [long, behind] = long_client.join().expect("no panic");
+    assert_eq!(long.received, Some((200, LONG_BODY_BYTES)));
+    assert_eq!(behind.status(), Some(503));
+    assert_exit_soon_after(&mut node, behind.ended_at);
 }
 
 /// Guards against a response that is cut off by an upgrade, or by another one while the first has not ended.
@@ -262,10 +278,10 @@
         ended.push((std::mem::replace(&mut current, successor), client));
     }
     for (mut node, client) in ended {
-        let (received, at) = client.join().expect("no panic");
-        assert_eq!(received, Some((200, LONG_BODY_BYTES)));
-        assert_exit_soon_after(&mut node, at);
+        let answer = client.join().expect("no panic");
+        assert_eq!(answer.received, Some((200, LONG_BODY_BYTES)));
+        assert_exit_soon_after(&mut node, answer.ended_at);
     }
-    let (received, _) = start_slow_client(current.addr, "after").join().expect("no panic");
-    assert_eq!(received, Some((200, LONG_BODY_BYTES)), "the last process serves");
+    let answer = start_slow_client(current.addr, "after").join().expect("no panic");
+    assert_eq!(answer.received, Some((200, LONG_BODY_BYTES)), "the last process serves");
 }
