Forward a response that begins shortly before the deadline in time

What callers saw: 502 for a long response without a length whose first data came less than 50 ms before the deadline, and a close towards the endpoint that still gave it.

Cause: BodyBuffer::fill buffered a body of unknown length for 50 ms, whatever was left of the client's wait, and the attempt ended at the deadline meanwhile.

Change: the body is buffered for at most half of the remaining wait.

--- a/src/node/connection/discovery/call.rs
+++ b/src/node/connection/discovery/call.rs
@@ -150,6 +150,10 @@
         false
     }
 
+    fn remaining_wait(&self) -> Duration {
+        Duration::MAX
+    }
+
     fn response_stalled(&self) {}
 
     fn take_request_memory(&self) -> Option<MemoryPermit> {
--- a/src/node/connection/endpoint_attempt.rs
+++ b/src/node/connection/endpoint_attempt.rs
@@ -64,6 +64,8 @@
 pub trait AttemptRequest {
     /// Returns whether the attempt may still be sent.
     fn may_send(&self) -> bool;
+    /// Returns how long the client still waits.
+    fn remaining_wait(&self) -> Duration;
     /// Handles a pause within the response before it was delivered.
     fn response_stalled(&self);
     /// Takes over the reservation for the request's body if that was streamed, as the response shows that it was sent.
@@ -175,6 +177,10 @@
         parts.status == StatusCode::OK && length.is_none_or(|length| length <= MAX_BODY_BYTES as u64)
     }
 
+    fn remaining_wait(&self) -> Duration {
+        self.request.remaining_wait()
+    }
+
     fn response_stalled(&self) {
         self.request.response_stalled();
     }
--- a/src/node/connection/response_body.rs
+++ b/src/node/connection/response_body.rs
@@ -75,6 +75,8 @@
     /// Returns whether a body beyond the buffer limits is wanted, given the response's head and the body's length if it
     /// is known.
     fn accepts_stream(&self, parts: &Parts, length: Option<u64>) -> bool;
+    /// Returns how long the response is still awaited.
+    fn remaining_wait(&self) -> Duration;
     /// Handles a pause within a response that another one may still replace. The response is awaited further.
     fn response_stalled(&self);
     /// Takes over a reservation that the request no longer needs, to be used for the stream.
@@ -210,7 +212,8 @@
         limits: BufferLimits,
         sink: &impl BodySink,
     ) -> Result<Filled, ResponseBodyError> {
-        let time_limit = sleep(limits.max_time);
+        // A response that begins shortly before the end of the wait must not be held back until then.
+        let time_limit = sleep(limits.max_time.min(sink.remaining_wait() / 2));
         tokio::pin!(time_limit);
         while limits.can_buffer(self.length) && self.received_bytes <= limits.max_bytes {
             let data = tokio::select! {
--- a/src/node/runtime/attempts.rs
+++ b/src/node/runtime/attempts.rs
@@ -23,7 +23,7 @@
     },
 };
 use oliverack::{EndReason, EndpointId, Event, LoadReport, RequestId, Seconds, Status, Time};
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tokio::{sync::mpsc, task::AbortHandle};
 use tracing::{Instrument, debug, debug_span};
 
@@ -275,6 +275,14 @@
         self.attempts.may_send(self.request_id)
     }
 
+    fn remaining_wait(&self) -> Duration {
+        let now = self.attempts.clock.now();
+        let request = self.attempts.table.get_mut(self.request_id);
+        let remaining = request.map_or(0.0, |request| request.deadline(now) - now);
+        // A wait that is too long for a duration is as good as endless.
+        Duration::try_from_secs_f64(remaining.max(0.0)).unwrap_or(Duration::MAX)
+    }
+
     fn response_stalled(&self) {
         self.attempts.policy.post(Event::ResponseStalled { request_id: self.request_id.clone() });
     }
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -345,3 +345,32 @@
     let is_in_time = ending.after.is_some_and(|after| after <= CLIENT_WAIT + 2 * END_GRACE);
     assert!(is_in_time && ending.status() == Some(200) && !ending.looks_complete(), "{}", ending.describe());
 }
+
+/// Guards against a long response of unknown length that begins in time and is held back until the deadline has passed.
+#[test]
+fn long_response_that_begins_shortly_before_deadline_is_not_cut_off() {
+    const BODY_BYTES: usize = 150_000;
+    const CLIENTS: usize = 6;
+    /// Less than the time for which the gateway waits whether a response turns out to be short.
+    const TIME_LEFT: Duration = Duration::from_millis(35);
+    let framing = ResponseFraming::Chunked;
+    let data = framing.frame(&vec![b'z'; BODY_BYTES / 10]);
+    let beginning = PacedPart { pause: CLIENT_WAIT - TIME_LEFT, bytes: framing.head(0) };
+    let pause = Duration::from_millis(80);
+    let end = PacedPart { pause, bytes: framing.end() };
+    let pieces = (0..10).map(|number| PacedPart { pause: pause * number.min(1), bytes: data.clone() });
+    let endpoint = start_paced_writer([beginning].into_iter().chain(pieces).chain([end]).collect());
+    let node = start_gateway(&endpoint);
+    let gateway = node.addr;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let [request, _] = closing_requests(&format!("late{number}"), WAIT_HEADER);
+            thread::spawn(move || read_to_end(gateway, &request, Duration::from_secs(5)))
+        })
+        .collect();
+    let endings: Vec<_> = clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    // A busy machine may hold up some of them until their time is over.
+    let is_complete = |ending: &Ending| ending.looks_complete() && ending.data_bytes() == BODY_BYTES;
+    let seen: Vec<String> = endings.iter().map(Ending::describe).collect();
+    assert!(endings.iter().any(is_complete), "{seen:#?}");
+}
