Start a discovery that lasts as long as a test in one place

Five tests leaked the fake discovery service each by itself. Also tells rightly what the endpoint of a shutdown test does. Assertions unchanged.

--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -22,12 +22,10 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 
 fn start_gateway(endpoint: SocketAddr) -> Node {
-    let (mut builder, discovery) = NodeBuilder::with_addresses(&[endpoint]);
+    let mut builder = NodeBuilder::with_lasting_discovery(&[endpoint]);
     builder.max_sockets(1024);
     let mut config = builder.config();
     config["limits"]["memory_mb"] = json!(MEMORY_MB);
-    // Discovery stays up as long as the test.
-    std::mem::forget(discovery);
     builder.start_with_config(&config.to_string(), &LaunchOptions::default())
 }
 
--- a/tests/fakes/node_builder.rs
+++ b/tests/fakes/node_builder.rs
@@ -40,6 +40,13 @@
         (builder, discovery)
     }
 
+    /// Like [`with_addresses`](Self::with_addresses), with a discovery service that stays up as long as the test.
+    pub fn with_lasting_discovery(addresses: &[SocketAddr]) -> Self {
+        let (builder, discovery) = Self::with_addresses(addresses);
+        std::mem::forget(discovery);
+        builder
+    }
+
     /// Like [`new`](Self::new), with a port for operators.
     pub fn with_operator_address(endpoints: &[&FakeEndpoint]) -> (Self, FakeDiscovery) {
         let (mut builder, discovery) = Self::new(endpoints);
--- a/tests/paused_messages.rs
+++ b/tests/paused_messages.rs
@@ -25,13 +25,11 @@
 
 /// Starts a gateway in front of this endpoint, with classes whose responses are worth nothing after the objective.
 fn start_gateway(endpoint: &RawEndpoint) -> Node {
-    let (mut builder, discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+    let mut builder = NodeBuilder::with_lasting_discovery(&[endpoint.addr]);
     for class in builder.settings["Classes"].as_array_mut().expect("classes") {
         class["Slo"] = json!(LATENCY_OBJECTIVE_SECONDS);
         class["LateWorth"] = json!(0.0);
     }
-    // Discovery stays up as long as the test.
-    std::mem::forget(discovery);
     builder.start()
 }
 
--- a/tests/repeated_ids.rs
+++ b/tests/repeated_ids.rs
@@ -21,12 +21,11 @@
 }
 
 fn builder_with_keyed_class(endpoint: &FakeEndpoint) -> NodeBuilder {
-    let (mut builder, discovery) = NodeBuilder::with_operator_address(&[endpoint]);
+    let mut builder = NodeBuilder::with_lasting_discovery(&[endpoint.addr]);
+    builder.operator_address();
     let class = json!({"Name": "change", "Effect": "deduplicated", "Group": "zone", "Window": 1.5, "Slo": 20.0,
         "Deadline": 30.0});
     builder.settings["Classes"].as_array_mut().expect("classes").push(class);
-    // Discovery stays up as long as the test.
-    std::mem::forget(discovery);
     builder
 }
 
--- a/tests/response_ends.rs
+++ b/tests/response_ends.rs
@@ -21,10 +21,7 @@
 
 /// Starts a gateway in front of this endpoint.
 fn start_gateway(endpoint: &RawEndpoint) -> Node {
-    let (builder, discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
-    // Discovery stays up as long as the test.
-    std::mem::forget(discovery);
-    builder.start()
+    NodeBuilder::with_lasting_discovery(&[endpoint.addr]).start()
 }
 
 /// Returns requests of both versions of HTTP, after whose responses the gateway closes the connection.
@@ -333,9 +330,8 @@
     /// More than the gateway buffers before it forwards a body.
     const WRITTEN_BYTES: usize = 800_000;
     let framing = ResponseFraming::Chunked;
-    let beginning = [framing.head(0), framing.frame(b"z")];
-    let endpoint =
-        EndlessResponse::new("", &[&beginning[0], &beginning[1]], &framing.frame(b"z"), 100).start();
+    let data = framing.frame(b"z");
+    let endpoint = EndlessResponse::new("overtaking", &[&framing.head(0), &data], &data, 100).start();
     let node = start_gateway(&endpoint);
     let [mut request, _] = closing_requests("overtaken", WAIT_HEADER);
     request = request.with_header("Content-Length", &BODY_BYTES.to_string());
--- a/tests/shutdown_in_response.rs
+++ b/tests/shutdown_in_response.rs
@@ -27,13 +27,11 @@
 
 /// Returns the builder of a gateway in front of this endpoint.
 fn builder(endpoint: &RawEndpoint) -> NodeBuilder {
-    let (mut builder, discovery) = NodeBuilder::with_addresses(&[endpoint.addr]);
+    let mut builder = NodeBuilder::with_lasting_discovery(&[endpoint.addr]);
     for class in builder.settings["Classes"].as_array_mut().expect("classes") {
         class["Deadline"] = json!(DEADLINE_SECONDS);
         class["Slo"] = json!(DEADLINE_SECONDS);
     }
-    // Discovery stays up as long as the test.
-    std::mem::forget(discovery);
     builder
 }
 
@@ -188,7 +186,7 @@
     const BODY_BYTES: usize = 60_000;
     const BODY_TIME: Duration = Duration::from_millis(2800);
     let endpoint = RawEndpoint::start(|mut socket| {
-        // Responds to the first request on the connection only if that has no body to speak of.
+        // Stays silent to a GET, and gives a long response to any other request.
         let mut head = [0; 20];
         if socket.read_exact(&mut head).is_err() || !read_past_head(&mut socket) || head.starts_with(b"GET") {
             let _ = socket.read_to_end(&mut Vec::new());
